Carry plain HTTP requests between callers and backend servers, first version

Cause: the daemon speaks only Connect with a two-list platform of its own. Change: an HTTP/1.1 face, the line beside the backend server, placement, a mesh over HTTP/2, words over datagrams, one view of the published lists, and the adapter in platform/ that translates settings, store and headers.

--- /dev/null
+++ b/core/berylline/queue.go
@@ -0,0 +1,38 @@
+package berylline
+
+import "time"
+
+type item[T any] struct {
+	rank  int
+	seq   uint64
+	ask   Ask
+	until time.Time
+	value T
+}
+
+type queue[T any] []*item[T]
+
+func (q queue[T]) Len() int { return len(q) }
+
+func (q queue[T]) Less(i, j int) bool {
+	if q[i].rank != q[j].rank {
+		return q[i].rank < q[j].rank
+	}
+	return q[i].seq < q[j].seq
+}
+
+func (q queue[T]) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+func (q *queue[T]) Push(v any) {
+	it, _ := v.(*item[T])
+	*q = append(*q, it)
+}
+
+func (q *queue[T]) Pop() any {
+	old := *q
+	n := len(old) - 1
+	it := old[n]
+	old[n] = nil
+	*q = old[:n]
+	return it
+}
--- /dev/null
+++ b/core/berylplace/place.go
@@ -0,0 +1,93 @@
+// Package berylplace chooses the instance that runs a request.
+//
+// It answers uneven servers under load: speeds differ, a slow or distant server
+// costs time, a full one makes requests wait, and what is known of load is a
+// fraction of a second old. Each candidate is given the time that the request
+// would take there; the least wins.
+package berylplace
+
+// Candidate is an instance that could run the request. Busy counts the requests
+// that run or wait there, in requests; Limit how many run at once; Hold is how
+// long one takes, in seconds, 0 when unknown. Far instances are in another data
+// centre. Distrust says that recent requests to it failed.
+type Candidate struct {
+	Busy     float64
+	Limit    float64
+	Hold     float64
+	Far      bool
+	Cold     bool
+	Distrust bool
+	Tried    bool
+}
+
+// Costs are in seconds.
+type Costs struct {
+	Far float64 // of another data centre, in place of its bytes and delay
+}
+
+const (
+	unknownHold = 0.05 // seconds; of an instance that nothing is known of
+	coldHold    = 2    // factor on the time of a server that has just started
+	crowded     = 0.6  // part of the limit from which a server is taken to slow down
+	crowdCost   = 1.5  // factor on the time of a server that runs at its limit, less one
+	distrustful = 30   // seconds added to an instance that failed lately
+)
+
+// Choose returns the index of the best candidate and the time expected there in
+// seconds, or -1 when every one was tried. Random returns a number in [0,1).
+func Choose(cs []Candidate, costs Costs, random func() float64) (best int, expect float64) {
+	best = -1
+	mean := meanHold(cs)
+	for i, c := range cs {
+		if c.Tried {
+			continue
+		}
+		// A few per cent at random keep instances with equal knowledge from
+		// all choosing the same server.
+		t := cost(c, costs, mean) * (1 + 0.06*random())
+		if best < 0 || t < expect {
+			best, expect = i, t
+		}
+	}
+	return best, expect
+}
+
+func meanHold(cs []Candidate) float64 {
+	sum, n := 0.0, 0
+	for _, c := range cs {
+		if c.Hold > 0 {
+			sum += c.Hold
+			n++
+		}
+	}
+	if n == 0 {
+		return unknownHold
+	}
+	return sum / float64(n)
+}
+
+func cost(c Candidate, costs Costs, mean float64) float64 {
+	hold := c.Hold
+	if hold <= 0 {
+		hold = mean
+	}
+	if c.Cold {
+		hold *= coldHold
+	}
+	limit := max(c.Limit, 1)
+	use := (c.Busy + 1) / limit
+	t := hold
+	if use > crowded {
+		t += hold * crowdCost * min((use-crowded)/(1-crowded), 1)
+	}
+	if use > 1 {
+		t += hold * (use - 1)
+	}
+	if c.Far {
+		t += costs.Far
+	}
+	if c.Distrust {
+		t += distrustful
+	}
+	return t
+}
--- a/io/berylapp/app.go
+++ b/io/berylapp/app.go
@@ -13,8 +13,9 @@
 
 // App runs one subcommand.
 type App struct {
-	out io.Writer
-	err io.Writer
+	out     io.Writer
+	err     io.Writer
+	sidecar func(ctx context.Context, out io.Writer) int
 }
 
 // Exit codes.
@@ -27,7 +28,18 @@
 )
 
 // New returns an app that writes results to out and the rest to err.
-func New(out, err io.Writer) *App { return &App{out: out, err: err} }
+func New(out, err io.Writer, opts ...func(*App)) *App {
+	a := &App{out: out, err: err}
+	for _, o := range opts {
+		o(a)
+	}
+	return a
+}
+
+// Sidecar sets what the sidecar command runs.
+func Sidecar(run func(ctx context.Context, out io.Writer) int) func(*App) {
+	return func(a *App) { a.sidecar = run }
+}
 
 type command struct {
 	name string
@@ -38,6 +50,7 @@
 func commands() []command {
 	return []command{
 		{"serve", "run the daemon beside a backend server", (*App).serve},
+		{"sidecar", "run the daemon beside a plain HTTP backend server, on the platform's settings", (*App).runSidecar},
 		{"check", "validate the two lists offline", (*App).check},
 		{"explain", "ask a daemon what is in force and why calls were refused", (*App).explain},
 		{"demo", "run and measure the main job on embedded stand-ins", (*App).demo},
@@ -45,6 +58,14 @@
 	}
 }
 
+func (a *App) runSidecar(ctx context.Context, args []string) int {
+	if len(args) > 0 || a.sidecar == nil {
+		a.complain("usage: berylspan sidecar")
+		return Usage
+	}
+	return a.sidecar(ctx, a.out)
+}
+
 // Run runs the subcommand that args names and returns the exit code. SIGINT and
 // SIGTERM end its context.
 func (a *App) Run(args []string) int {
--- /dev/null
+++ b/io/berylenter/check.go
@@ -0,0 +1,209 @@
+package berylenter
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"berylspan/core/berylaccount"
+	"berylspan/core/berylpublished"
+	"berylspan/core/berylquota"
+	"berylspan/core/berylrule"
+	"berylspan/core/berylsplitter"
+	"berylspan/io/berylface"
+	"berylspan/io/berylwork"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Reasons of refusals before anything is sent.
+const (
+	noConfig   = "no configuration"
+	noRequest  = "no request id"
+	noRule     = "no rule"
+	noKey      = "unknown key"
+	overBody   = "body too long"
+	overRate   = "over the rate"
+	overload   = "overload"
+	noInstance = "no instance"
+	noTime     = "no time left"
+)
+
+// request is one request while it is served.
+type request struct {
+	*berylface.Request
+	rule    *berylrule.Rule
+	account *berylaccount.Account
+	quota   *berylquota.Quota
+	work    *berylwork.Work
+	way     string // the rule, and the part when it is split
+	age     time.Duration
+
+	tries  int
+	server string // where it was sent last
+	reason string
+}
+
+const (
+	anyTime      = 30 * time.Second       // for requests and rules without a bound
+	startPause   = 500 * time.Millisecond // until an instance that just started knows more
+	returnAfter  = 100 * time.Millisecond // shortfall of time from which a request is taken to come back
+	leastPause   = 50 * time.Millisecond
+	ranksApart   = 10 // between two ranks of workspaces, so that rules' ranks fit between
+	quotaPause   = 300 * time.Millisecond
+	overloadPart = 0.5 // of the time of full use that is left, after which a shed request may return
+)
+
+// Alone tells whether a request must wait until the answers ahead of it on its
+// connection are written: one that must not run twice counts as not read when an
+// answer before it ends the connection.
+func (e *Enter) Alone(r *berylface.Request) bool {
+	p := e.State().Published
+	if p == nil {
+		return true
+	}
+	rule := p.Match(r.Host, r.Path)
+	return rule == nil || !rule.Repeatable
+}
+
+// check finds what applies to a request, or refuses it.
+func (e *Enter) check(q *request) *berylface.Answer {
+	p := e.State().Published
+	if p == nil {
+		return e.refuse(q, http.StatusServiceUnavailable, noConfig, startPause)
+	}
+	id := q.Header.Get(e.Names.Request)
+	if id == "" || q.Method == http.MethodConnect {
+		return e.refuse(q, http.StatusBadRequest, noRequest, 0)
+	}
+	q.rule = p.Match(q.Host, q.Path)
+	if q.rule == nil {
+		return e.refuse(q, http.StatusNotFound, noRule, 0)
+	}
+	key := q.Header.Get(e.Names.Key)
+	if p.Keyed && !q.rule.Open {
+		if q.account = p.Holder(key); q.account == nil {
+			return e.refuse(q, http.StatusUnauthorized, noKey, 0)
+		}
+	}
+	if q.Length > p.Body {
+		return e.refuse(q, http.StatusRequestEntityTooLarge, overBody, 0)
+	}
+	e.prepare(q, p, id, key)
+	if !q.work.Until.After(time.Now()) {
+		return e.refuse(q, http.StatusServiceUnavailable, noTime, 0)
+	}
+	return e.admit(q, p)
+}
+
+// prepare makes the work of a request.
+func (e *Enter) prepare(q *request, p *berylpublished.Published, id, key string) {
+	left := anyTime
+	if ms, err := strconv.ParseInt(q.Header.Get(e.Names.Left), 10, 64); err == nil && ms < anyTime.Milliseconds() {
+		left = time.Duration(ms) * time.Millisecond
+	}
+	h := q.Header
+	strip(h, e.Names)
+	w := &berylwork.Work{
+		ID: id, Method: q.Method, URI: q.URI, Host: q.Host, Header: h, Body: q.Body, Stream: q.Stream, Length: q.Length,
+		Rule: q.rule.Name, Repeatable: q.rule.Repeatable, Rank: q.rule.Rank, Caller: e.Service(),
+		Call: p.Keyed && q.rule.Open && key == "",
+	}
+	bound := left
+	if q.rule.Timeout > 0 {
+		bound = min(bound, q.rule.Timeout)
+	}
+	w.Until = q.At.Add(bound)
+	if a := q.account; a != nil {
+		w.Workspace = a.Workspace
+		if a.Ranked {
+			w.Rank = a.Rank*ranksApart + min(q.rule.Rank, ranksApart-1)
+		}
+	}
+	e.mu.Lock()
+	longest := max(e.longest[q.rule.Name], left)
+	e.longest[q.rule.Name] = longest
+	e.mu.Unlock()
+	if !w.Call && left < anyTime {
+		q.age = longest - left
+	}
+	target := q.rule.Target
+	if target <= 0 {
+		target = bound
+	}
+	w.Aim = q.At.Add(target - q.age)
+	q.work = w
+}
+
+// admit applies the workspace's rate and, at a shortage, the gate.
+func (e *Enter) admit(q *request, p *berylpublished.Published) *berylface.Answer {
+	now := time.Now()
+	e.mu.Lock()
+	service := e.split(q.rule).Next(q.rule.Parts)
+	q.work.Service = service
+	q.way = q.rule.Name
+	if len(q.rule.Parts) > 1 {
+		q.way += "/" + service
+	}
+	if a := q.account; a != nil && a.Rate > 0 {
+		q.quota = e.quota(now, a)
+		if ok, after := q.quota.Take(now); !ok {
+			q.quota = nil
+			e.mu.Unlock()
+			return e.refuse(q, http.StatusTooManyRequests, overRate, max(after, quotaPause))
+		}
+	}
+	ok := q.work.Call || e.gate.Admit(now, q.way, p.Steps(q.rule, q.account), q.age > returnAfter)
+	e.mu.Unlock()
+	if !ok {
+		return e.refuse(q, http.StatusServiceUnavailable, overload, e.pause(q))
+	}
+	return nil
+}
+
+// pause is when a request that was shed may come back: while its answer would
+// still be of full use, spread so that not all return at once.
+func (e *Enter) pause(q *request) time.Duration {
+	left := time.Until(q.work.Aim)
+	if left <= 0 {
+		left = time.Until(q.work.Until)
+	}
+	return max(leastPause, time.Duration(float64(left)*overloadPart*(0.5+random())))
+}
+
+func (e *Enter) split(rule *berylrule.Rule) *berylsplitter.Splitter {
+	s := e.splits[rule.Name]
+	if s == nil {
+		phase := float64(xxhash.Sum64String(e.Host+rule.Name)) / math.MaxUint64
+		s = berylsplitter.New(rule.Parts, phase)
+		e.splits[rule.Name] = s
+	}
+	return s
+}
+
+func (e *Enter) quota(now time.Time, a *berylaccount.Account) *berylquota.Quota {
+	q := e.quotas[a.Workspace]
+	if q == nil {
+		q = berylquota.New(now, a.Rate, a.Burst, e.fleet)
+		e.quotas[a.Workspace] = q
+	}
+	q.Set(now, a.Rate, a.Burst)
+	return q
+}
+
+// Serve serves one request.
+func (e *Enter) Serve(ctx context.Context, r *berylface.Request) *berylface.Answer {
+	q := &request{Request: r}
+	a := e.check(q)
+	if a == nil {
+		if q.work.Call {
+			e.Called(q.rule.Name)
+		}
+		a = e.run(ctx, q)
+	}
+	a.Bare = r.Method == http.MethodHead
+	e.record(q, a)
+	return a
+}
--- /dev/null
+++ b/io/berylenter/enter.go
@@ -0,0 +1,158 @@
+// Package berylenter takes requests where they begin: it decides whether they
+// may run, sends them to an instance and gives the caller a true answer.
+package berylenter
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"berylspan/core/berylgate"
+	"berylspan/core/berylnames"
+	"berylspan/core/berylquota"
+	"berylspan/core/berylsends"
+	"berylspan/core/berylsplitter"
+	"berylspan/core/berylstanding"
+	"berylspan/io/berylgossip"
+	"berylspan/io/berylreply"
+	"berylspan/io/berylview"
+	"berylspan/io/berylwork"
+
+	"github.com/rs/zerolog"
+)
+
+// Enter is safe for concurrent use. Host is the address of this instance and
+// Service that of the backend server beside it. Local runs work on that server,
+// Remote on another instance. Called is told of nested calls.
+type Enter struct {
+	Names   berylnames.Names
+	Host    string
+	Zone    string
+	Port    string // on which other instances are reached
+	Service func() string
+	State   func() *berylview.State
+	Age     func() time.Duration
+	Local   func(ctx context.Context, w *berylwork.Work) *berylreply.Reply
+	Remote  func(ctx context.Context, addr string, w *berylwork.Work) *berylreply.Reply
+	Called  func(rule string)
+	Log     zerolog.Logger
+	Observe func(workspace, rule string, status int, reason string, took time.Duration)
+
+	mu       sync.Mutex
+	standing *berylstanding.Standing
+	gate     *berylgate.Gate
+	splits   map[string]*berylsplitter.Splitter
+	sends    map[string]*berylsends.Sends
+	quotas   map[string]*berylquota.Quota
+	longest  map[string]time.Duration // time that first requests of a rule bring
+	peers    map[string]berylgossip.Peer
+	flights  map[*flight]struct{}
+	fleet    int // instances that take requests
+}
+
+// flight is a send to another instance that has not ended.
+type flight struct {
+	host   string
+	cancel context.CancelFunc
+}
+
+const (
+	silentAfter = 1300 * time.Millisecond // three words that did not come
+	farCost     = 0.06                    // seconds; stands for the bytes and delay of another data centre
+)
+
+// New completes an enter whose exported fields are set.
+func New(e *Enter) *Enter {
+	e.standing = berylstanding.New()
+	e.gate = berylgate.New()
+	e.splits = map[string]*berylsplitter.Splitter{}
+	e.sends = map[string]*berylsends.Sends{}
+	e.quotas = map[string]*berylquota.Quota{}
+	e.longest = map[string]time.Duration{}
+	e.peers = map[string]berylgossip.Peer{}
+	e.flights = map[*flight]struct{}{}
+	e.fleet = 1
+	return e
+}
+
+// Open returns the part of a rule's new work that fits on its way.
+func (e *Enter) Open(rule string) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gate.Open(time.Now(), rule)
+}
+
+// Tick takes the instances heard lately. Sends to instances that fell silent are
+// given up, so that requests which may be repeated can go elsewhere.
+func (e *Enter) Tick(peers []berylgossip.Peer) {
+	now := time.Now()
+	s := e.State()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.peers = make(map[string]berylgossip.Peer, len(peers))
+	for _, p := range peers {
+		e.peers[p.Host] = p
+		if p.Word.Server != "" && now.Sub(p.Heard) < silentAfter {
+			e.standing.Told(p.Heard, p.Word.Server, "", p.Word.Busy, p.Word.Limit, 0)
+		}
+	}
+	hosts := map[string]bool{e.Host: true}
+	for addr := range s.Hosts {
+		if host, _, err := net.SplitHostPort(addr); err == nil {
+			hosts[host] = true
+		}
+	}
+	for _, p := range peers {
+		if now.Sub(p.Heard) < silentAfter {
+			hosts[p.Host] = true
+		}
+	}
+	e.fleet = len(hosts)
+	for f := range e.flights {
+		if p, ok := e.peers[f.host]; ok && now.Sub(p.Heard) > silentAfter {
+			f.cancel()
+		}
+	}
+	e.share(now, s)
+	e.standing.Forget(now)
+}
+
+// share sets the parts of the workspaces' rates from what instances said.
+func (e *Enter) share(now time.Time, s *berylview.State) {
+	if s.Published == nil {
+		return
+	}
+	for workspace, q := range e.quotas {
+		a := s.Published.Account(workspace)
+		if a == nil || a.Rate <= 0 {
+			delete(e.quotas, workspace)
+			continue
+		}
+		q.Set(now, a.Rate, a.Burst)
+		others := 0.0
+		for _, p := range e.peers {
+			others += float64(p.Word.Demand[workspace]) / demandUnit
+		}
+		q.Share(now, others, e.fleet)
+	}
+}
+
+const demandUnit = 10 // a word's demand is in tenths of a request per second
+
+// Demand returns what this instance is asked for, as a word says it.
+func (e *Enter) Demand() map[string]uint32 {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make(map[string]uint32, len(e.quotas))
+	for workspace, q := range e.quotas {
+		if d := uint32(q.Demand(now) * demandUnit); d > 0 {
+			out[workspace] = d
+		}
+	}
+	return out
+}
+
+func random() float64 { return rand.Float64() }
--- /dev/null
+++ b/io/berylsidecar/meter.go
@@ -0,0 +1,56 @@
+package berylsidecar
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// meter counts for operators.
+type meter struct {
+	reg      *prometheus.Registry
+	requests *prometheus.HistogramVec
+	ends     *prometheus.CounterVec
+	works    *prometheus.CounterVec
+	waits    *prometheus.HistogramVec
+}
+
+const namespace = "berylspan"
+
+func newMeter() *meter {
+	m := &meter{
+		reg: prometheus.NewRegistry(),
+		requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "request_seconds",
+			Help:    "Time of callers' requests from arrival to the decision on the answer, in seconds.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 2, 13),
+		}, []string{"workspace", "rule"}),
+		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "requests_total", Help: "Callers' requests by rule, status and reason.",
+		}, []string{"rule", "status", "reason"}),
+		works: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "work_total", Help: "Requests for the backend server beside the instance by rule, end and reason.",
+		}, []string{"rule", "end", "reason"}),
+		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "wait_seconds", Help: "Time that requests waited beside the backend server, in seconds.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 13),
+		}, []string{"rule"}),
+	}
+	m.reg.MustRegister(m.requests, m.ends, m.works, m.waits)
+	return m
+}
+
+func (m *meter) handler() http.Handler { return promhttp.HandlerFor(m.reg, promhttp.HandlerOpts{}) }
+
+func (m *meter) request(workspace, rule string, status int, reason string, took time.Duration) {
+	m.requests.WithLabelValues(workspace, rule).Observe(took.Seconds())
+	m.ends.WithLabelValues(rule, strconv.Itoa(status), reason).Inc()
+}
+
+func (m *meter) work(rule, end, reason string, waited time.Duration) {
+	m.works.WithLabelValues(rule, end, reason).Inc()
+	m.waits.WithLabelValues(rule).Observe(waited.Seconds())
+}
--- /dev/null
+++ b/io/berylsidecar/peers.go
@@ -0,0 +1,166 @@
+package berylsidecar
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"berylspan/io/berylgossip"
+	"berylspan/io/berylview"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	beatEvery   = 400 * time.Millisecond // between two words; three that do not come mean silence
+	smallFleet  = 24                     // instances up to which every one tells every other
+	aliveWithin = 1300 * time.Millisecond
+	statePath   = "/state"
+	mostState   = 8 << 20 // bytes
+)
+
+func port(s string) uint16 {
+	n, err := strconv.ParseUint(s, 10, 16)
+	if err != nil {
+		return 0 // The listener on it has failed before.
+	}
+	return uint16(n)
+}
+
+// beat tells others of this instance and looks at what they told.
+func (s *Sidecar) beat(ctx context.Context) {
+	s.say(true)
+	t := time.NewTicker(beatEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			s.enter.Tick(s.gossip.Peers())
+			s.say(false)
+		}
+	}
+}
+
+// changed tells others at once that something new is known here.
+func (s *Sidecar) changed() { s.say(false) }
+
+// say sends a word, to every known instance or to those whose turn it is.
+func (s *Sidecar) say(all bool) {
+	set := s.set.Load()
+	st := s.view.State()
+	w := berylgossip.Word{
+		Start: s.start, Zone: set.Zone, Change: st.Change, Revision: st.Revision,
+		AgeMs: s.view.Age().Milliseconds(), Leaving: s.leaving.Load(), Demand: s.enter.Demand(),
+	}
+	if st.Published != nil {
+		w.Version = st.Published.Version
+	} else {
+		w.AgeMs = 0
+	}
+	if own, ok := s.own(); ok {
+		w.Server = own.ID
+	}
+	w.Busy, w.Limit = s.beside.Load()
+	if err := s.gossip.Send(s.hosts(all), w); err != nil {
+		s.log.Warn().Err(err).Msg("word not sent")
+	}
+}
+
+// hosts returns the instances to tell: all of them in a small fleet, else those
+// of the own data centre and one of each other, in turn.
+func (s *Sidecar) hosts(all bool) []string {
+	set := s.set.Load()
+	zones := map[string][]string{}
+	seen := map[string]bool{set.Host: true}
+	add := func(host, zone string) {
+		if !seen[host] {
+			seen[host] = true
+			zones[zone] = append(zones[zone], host)
+		}
+	}
+	for addr, l := range s.view.State().Hosts {
+		if host, _, err := net.SplitHostPort(addr); err == nil {
+			add(host, l.Zone)
+		}
+	}
+	for _, p := range s.gossip.Peers() {
+		if time.Since(p.Heard) < 10*time.Second {
+			add(p.Host, p.Word.Zone)
+		}
+	}
+	var out []string
+	s.turn++
+	for zone, hosts := range zones {
+		if all || len(seen) <= smallFleet || zone == set.Zone {
+			out = append(out, hosts...)
+			continue
+		}
+		slices.Sort(hosts)
+		out = append(out, hosts[s.turn%len(hosts)])
+	}
+	return out
+}
+
+// place returns this instance's place among those alive, in an order that all
+// agree on.
+func (s *Sidecar) place() int {
+	if s.leaving.Load() {
+		return smallFleet
+	}
+	own := xxhash.Sum64String(s.set.Load().Host)
+	n := 0
+	for _, p := range s.gossip.Peers() {
+		if time.Since(p.Heard) < aliveWithin && !p.Word.Leaving && xxhash.Sum64String(p.Host) < own {
+			n++
+		}
+	}
+	return n
+}
+
+// hear returns what is done with a word.
+func (s *Sidecar) hear(ctx context.Context) func(host string, w berylgossip.Word) {
+	return func(host string, w berylgossip.Word) {
+		if w.Version == 0 {
+			return
+		}
+		s.view.Hear(ctx, net.JoinHostPort(host, s.set.Load().Port), w.Version, w.Change, w.Revision, time.Duration(w.AgeMs)*time.Millisecond)
+	}
+}
+
+// serveState passes on what is known here.
+func (s *Sidecar) serveState(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseInt(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		http.Error(w, "version must be a number", http.StatusBadRequest)
+		return
+	}
+	data, err := cbor.Marshal(s.view.Snapshot(version))
+	if err != nil {
+		s.log.Error().Err(err).Msg("state not encoded")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(data) // The asker asks again.
+}
+
+// pull fetches what the instance at addr knows.
+func (s *Sidecar) pull(ctx context.Context, addr string, version, _ int64) (*berylview.Snapshot, error) {
+	data, err := s.mesh.Get(ctx, addr, statePath+"?version="+strconv.FormatInt(version, 10))
+	if err != nil {
+		return nil, eris.Wrap(err, "pull")
+	}
+	var snap berylview.Snapshot
+	if err := cbor.NewDecoder(io.LimitReader(bytes.NewReader(data), mostState)).Decode(&snap); err != nil {
+		return nil, eris.Wrap(err, "pull")
+	}
+	return &snap, nil
+}
--- /dev/null
+++ b/io/berylsidecar/settings.go
@@ -0,0 +1,17 @@
+package berylsidecar
+
+import "time"
+
+// Settings is what a sidecar needs to run. Addresses are IP addresses with
+// ports. Backend may change while it runs, Service too.
+type Settings struct {
+	Name    string // of the instance, for logs
+	Host    string // IP address of the instance
+	Zone    string // data centre
+	Service string // of the backend server beside the instance
+	Backend string // address of the backend server
+	Callers string // address to listen on for callers
+	Ready   string // address to listen on for readiness checks
+	Port    string // on which instances reach each other, TCP and UDP
+	Grace   time.Duration
+}
--- /dev/null
+++ b/io/berylsidecar/sidecar.go
@@ -0,0 +1,239 @@
+// Package berylsidecar puts together the daemon that serves plain HTTP callers
+// beside one backend server.
+package berylsidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"berylspan/core/beryllisted"
+	"berylspan/core/berylnames"
+	"berylspan/core/berylpublished"
+	"berylspan/io/berylbeside"
+	"berylspan/io/berylenter"
+	"berylspan/io/berylface"
+	"berylspan/io/berylgossip"
+	"berylspan/io/berylmesh"
+	"berylspan/io/berylreply"
+	"berylspan/io/berylview"
+	"berylspan/io/berylwork"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+)
+
+// Sidecar is one running daemon.
+type Sidecar struct {
+	set   atomic.Pointer[Settings]
+	names berylnames.Names
+	log   zerolog.Logger
+	start int64
+
+	view   *berylview.View
+	gossip *berylgossip.Gossip
+	mesh   *berylmesh.Mesh
+	beside *berylbeside.Beside
+	enter  *berylenter.Enter
+	face   *berylface.Face
+	meter  *meter
+
+	udp     *net.UDPConn
+	servers []*http.Server
+	leaving atomic.Bool
+	turn    int // of the peers in other data centres
+	cancel  context.CancelFunc
+	loops   sync.WaitGroup
+}
+
+// New returns a sidecar that does nothing before Start.
+func New(set Settings, names berylnames.Names, feed berylview.Feed, log zerolog.Logger) *Sidecar {
+	s := &Sidecar{names: names, log: log, start: time.Now().UnixMilli(), meter: newMeter()}
+	s.set.Store(&set)
+	s.mesh = berylmesh.New(names)
+	s.view = berylview.New(feed, log,
+		berylview.Pull(s.pull),
+		berylview.Place(s.place),
+		berylview.Changed(s.changed))
+	s.enter = berylenter.New(&berylenter.Enter{
+		Names: names, Host: set.Host, Zone: set.Zone, Port: set.Port,
+		Service: func() string { return s.set.Load().Service },
+		State:   s.view.State, Age: s.view.Age,
+		Local:   func(ctx context.Context, w *berylwork.Work) *berylreply.Reply { return s.beside.Run(ctx, w) },
+		Remote:  s.mesh.Send,
+		Called:  func(rule string) { s.beside.Called(rule) },
+		Log:     log,
+		Observe: s.meter.request,
+	})
+	s.beside = berylbeside.New(set.Backend, names, s.own, s.enter.Open, berylbeside.Seen(s.seen))
+	return s
+}
+
+// own returns the list's entry of the backend server beside.
+func (s *Sidecar) own() (beryllisted.Listed, bool) {
+	l, ok := s.view.State().Hosts[s.set.Load().Backend]
+	return l, ok
+}
+
+// Start listens and begins to learn. Callers are refused until a configuration
+// is known.
+func (s *Sidecar) Start(ctx context.Context) error {
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	s.cancel = cancel
+	set := s.set.Load()
+	lc := &net.ListenConfig{Control: berylmesh.Unacked}
+	callers, err := new(net.ListenConfig).Listen(ctx, "tcp", set.Callers)
+	if err != nil {
+		return eris.Wrap(err, "callers")
+	}
+	peers, err := lc.Listen(ctx, "tcp", net.JoinHostPort(set.Host, set.Port))
+	if err != nil {
+		return eris.Wrap(err, "peers")
+	}
+	ready, err := new(net.ListenConfig).Listen(ctx, "tcp", set.Ready)
+	if err != nil {
+		return eris.Wrap(err, "readiness")
+	}
+	pc, err := new(net.ListenConfig).ListenPacket(ctx, "udp", net.JoinHostPort(set.Host, set.Port))
+	if err != nil {
+		return eris.Wrap(err, "words of peers")
+	}
+	udp, ok := pc.(*net.UDPConn)
+	if !ok {
+		return eris.New("no datagram socket")
+	}
+	s.udp = udp
+	s.gossip = berylgossip.New(udp, port(set.Port), s.hear(run))
+	s.face = berylface.New(callers, s.enter.Serve, s.enter.Alone, s.limits)
+	s.loops.Go(func() { s.gossip.Run(run) })
+	s.loops.Go(func() { s.view.Run(run) })
+	s.loops.Go(func() { s.beat(run) })
+	s.serve(peers, s.handler())
+	s.serve(ready, http.HandlerFunc(s.readiness))
+	s.loops.Go(func() { s.face.Run(run) })
+	s.log.Info().Str("instance", set.Name).Str("zone", set.Zone).Str("service", set.Service).Str("callers", set.Callers).Msg("started")
+	return nil
+}
+
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = time.Minute
+	mostStreams   = 2000
+	streamBuffer  = 256 << 10 // bytes
+	connBuffer    = 1 << 20   // bytes
+)
+
+func (s *Sidecar) serve(ln net.Listener, h http.Handler) {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	srv := &http.Server{
+		Handler: h, Protocols: protocols, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          mostStreams,
+			MaxReceiveBufferPerStream:     streamBuffer,
+			MaxReceiveBufferPerConnection: connBuffer,
+		},
+	}
+	s.servers = append(s.servers, srv)
+	s.loops.Go(func() {
+		// Ends with Close; a listener that fails shows in the log of readiness.
+		if err := srv.Serve(ln); !eris.Is(err, http.ErrServerClosed) {
+			s.log.Error().Err(err).Msg("listener lost")
+		}
+	})
+}
+
+func (s *Sidecar) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/w", s.mesh.Handler(s.beside.Run))
+	mux.HandleFunc(statePath, s.serveState)
+	mux.Handle("/metrics", s.meter.handler())
+	return mux
+}
+
+// readiness answers 200 while the daemon takes new work.
+func (s *Sidecar) readiness(w http.ResponseWriter, _ *http.Request) {
+	if s.leaving.Load() || s.view.State().Published == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Sidecar) limits() berylface.Limits {
+	p := s.view.State().Published
+	if p == nil {
+		return berylface.Limits{
+			Header: berylpublished.DefaultHeader, Body: berylpublished.DefaultBody,
+			HeadTime: berylpublished.DefaultHeadTime, IdleTime: berylpublished.DefaultIdleTime,
+		}
+	}
+	return berylface.Limits{Header: p.Header, Body: p.Body, HeadTime: p.HeadTime, IdleTime: p.IdleTime}
+}
+
+// Reload takes changed settings. Listeners stay as they are.
+func (s *Sidecar) Reload(set Settings) {
+	s.set.Store(&set)
+	s.beside.Move(set.Backend)
+	s.log.Info().Str("service", set.Service).Str("backend", set.Backend).Msg("settings reloaded")
+}
+
+const (
+	drainTime  = 2500 * time.Millisecond // callers need two missed checks, a second apart, to go elsewhere
+	drainCheck = 50 * time.Millisecond
+	drainLeft  = 600 * time.Millisecond // of the grace, for closing
+	leaveTells = 3                      // words that say so, in case one gets lost
+	tellGap    = 30 * time.Millisecond
+)
+
+// Stop is a graceful shutdown: other instances hear of it first, own callers are
+// served on until they have gone elsewhere, and what runs is finished.
+func (s *Sidecar) Stop() {
+	begin := time.Now()
+	s.leaving.Store(true)
+	s.beside.Leave()
+	s.face.Leave(false)
+	s.log.Info().Int("callers", s.face.Busy()).Int("backend", s.beside.Busy()).Msg("leaving")
+	for range leaveTells {
+		s.say(true)
+		time.Sleep(tellGap)
+	}
+	end := begin.Add(max(s.set.Load().Grace-drainLeft, drainTime))
+	for time.Now().Before(end) {
+		if time.Since(begin) > drainTime && s.face.Busy()+s.beside.Busy() == 0 {
+			break
+		}
+		time.Sleep(drainCheck)
+	}
+	s.log.Info().Int("callers", s.face.Busy()).Int("backend", s.beside.Busy()).Dur("took", time.Since(begin)).Msg("stopped")
+	s.face.Leave(true)
+	s.Close()
+}
+
+// Close ends everything at once.
+func (s *Sidecar) Close() {
+	s.cancel()
+	s.face.Close()
+	for _, srv := range s.servers {
+		_ = srv.Close() // Nothing is left to be done about it.
+	}
+	_ = s.udp.Close() // As above.
+	s.mesh.Close()
+	s.loops.Wait()
+}
+
+// seen logs the end of work beside the backend server.
+func (s *Sidecar) seen(w *berylwork.Work, waited time.Duration, out *berylreply.Reply) {
+	s.meter.work(w.Rule, out.End.String(), out.Reason, waited)
+	if out.Reason == "" && waited < logWait {
+		return
+	}
+	s.log.Info().Str("id", w.ID).Str("rule", w.Rule).Str("server", w.Instance).Str("end", out.End.String()).Str("reason", out.Reason).
+		Dur("waited", waited).Int("busy", out.Busy).Int("limit", out.Limit).Dur("hold", out.Hold).Float64("open", out.Open).Msg("work")
+}
+
+const logWait = 50 * time.Millisecond // work that waited longer is logged even when it went well
--- /dev/null
+++ b/io/berylview/state.go
@@ -0,0 +1,42 @@
+package berylview
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"berylspan/core/beryllisted"
+	"berylspan/core/berylpublished"
+)
+
+// State is what an instance knows of the published lists; it is immutable. Raw
+// is the configuration as it was published. Change is the revision of the last
+// change that mattered and Revision the one up to which the store was read.
+type State struct {
+	Published *berylpublished.Published // nil while none is known
+	Raw       []byte
+	Change    int64
+	Revision  int64
+	Listed    map[string]beryllisted.Listed
+	Services  map[string][]beryllisted.Listed // by id
+	Hosts     map[string]beryllisted.Listed   // by address of the backend server
+	Fresh     time.Time                       // when the store was last known to hold this
+}
+
+// index fills what follows from the list. Of two entries with one address the
+// later lifetime holds.
+func (s *State) index() {
+	s.Hosts = make(map[string]beryllisted.Listed, len(s.Listed))
+	for _, l := range s.Listed {
+		if o, ok := s.Hosts[l.Addr]; !ok || l.Born > o.Born || (l.Born == o.Born && l.ID < o.ID) {
+			s.Hosts[l.Addr] = l
+		}
+	}
+	s.Services = map[string][]beryllisted.Listed{}
+	for _, l := range s.Hosts {
+		s.Services[l.Service] = append(s.Services[l.Service], l)
+	}
+	for _, list := range s.Services {
+		slices.SortFunc(list, func(a, b beryllisted.Listed) int { return cmp.Compare(a.ID, b.ID) })
+	}
+}
--- a/main.go
+++ b/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"berylspan/io/berylapp"
+	"berylspan/platform/berylrun"
 )
 
 func main() {
-	os.Exit(berylapp.New(os.Stdout, os.Stderr).Run(os.Args[1:]))
+	os.Exit(berylapp.New(os.Stdout, os.Stderr, berylapp.Sidecar(berylrun.Run)).Run(os.Args[1:]))
 }
