Lend workspaces' tokens from one instance in place of fixed parts

Change: one instance per workspace keeps the bucket and lends tokens over datagrams; the fixed part is what remains when it cannot be heard.

--- a/core/berylpublished/published.go
+++ b/core/berylpublished/published.go
@@ -2,6 +2,8 @@
 package berylpublished
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -96,3 +98,6 @@
 	}
 	return steps
 }
+
+// Workspaces returns the names of all workspaces that have a key.
+func (p *Published) Workspaces() []string { return slices.Sorted(maps.Keys(p.names)) }
--- a/core/berylquota/quota.go
+++ b/core/berylquota/quota.go
@@ -76,11 +76,15 @@
 	q.tokens = min(q.most(), q.tokens+dt*q.rate*q.part)
 }
 
-// Take counts a request and takes a token for it. When there is none it returns
-// how long until there is one.
-func (q *Quota) Take(now time.Time) (bool, time.Duration) {
+// Count records a request that was asked for here.
+func (q *Quota) Count(now time.Time) {
 	q.demand = q.Demand(now) + 1/window
 	q.counted = now
+}
+
+// Take takes a token for a request. When there is none it returns how long until
+// there is one.
+func (q *Quota) Take(now time.Time) (bool, time.Duration) {
 	q.fill(now)
 	if q.tokens >= 1 {
 		q.tokens--
@@ -89,6 +93,3 @@
 	speed := max(q.rate*q.part, 0.01)
 	return false, time.Duration((1 - q.tokens) / speed * float64(time.Second))
 }
-
-// Return gives back the token of a request that did not run.
-func (q *Quota) Return() { q.tokens = min(q.most(), q.tokens+1) }
--- a/io/berylenter/answer.go
+++ b/io/berylenter/answer.go
@@ -58,11 +58,9 @@
 	if after > 0 {
 		h["Retry-After"] = []string{strconv.FormatFloat(after.Seconds(), 'f', 3, 64)}
 	}
-	if q.quota != nil && status == http.StatusServiceUnavailable {
+	if q.counted && status == http.StatusServiceUnavailable {
 		// It did not run, so it does not count.
-		e.mu.Lock()
-		q.quota.Return()
-		e.mu.Unlock()
+		e.Quotas.Return(q.account.Workspace)
 	}
 	return &berylface.Answer{Status: status, Header: h}
 }
--- a/io/berylenter/check.go
+++ b/io/berylenter/check.go
@@ -9,7 +9,6 @@
 
 	"berylspan/core/berylaccount"
 	"berylspan/core/berylpublished"
-	"berylspan/core/berylquota"
 	"berylspan/core/berylrule"
 	"berylspan/core/berylsplitter"
 	"berylspan/io/berylface"
@@ -36,7 +35,7 @@
 	*berylface.Request
 	rule    *berylrule.Rule
 	account *berylaccount.Account
-	quota   *berylquota.Quota
+	counted bool // a token of the workspace was taken
 	work    *berylwork.Work
 	way     string // the rule, and the part when it is split
 	age     time.Duration
@@ -69,7 +68,7 @@
 }
 
 // check finds what applies to a request, or refuses it.
-func (e *Enter) check(q *request) *berylface.Answer {
+func (e *Enter) check(ctx context.Context, q *request) *berylface.Answer {
 	p := e.State().Published
 	if p == nil {
 		return e.refuse(q, http.StatusServiceUnavailable, noConfig, startPause)
@@ -95,7 +94,7 @@
 	if !q.work.Until.After(time.Now()) {
 		return e.refuse(q, http.StatusServiceUnavailable, noTime, 0)
 	}
-	return e.admit(q, p)
+	return e.admit(ctx, q, p)
 }
 
 // prepare makes the work of a request.
@@ -138,7 +137,7 @@
 }
 
 // admit applies the workspace's rate and, at a shortage, the gate.
-func (e *Enter) admit(q *request, p *berylpublished.Published) *berylface.Answer {
+func (e *Enter) admit(ctx context.Context, q *request, p *berylpublished.Published) *berylface.Answer {
 	now := time.Now()
 	e.mu.Lock()
 	service := e.split(q.rule).Next(q.rule.Parts)
@@ -147,19 +146,17 @@
 	if len(q.rule.Parts) > 1 {
 		q.way += "/" + service
 	}
-	if a := q.account; a != nil && a.Rate > 0 {
-		q.quota = e.quota(now, a)
-		if ok, after := q.quota.Take(now); !ok {
-			q.quota = nil
-			e.mu.Unlock()
-			return e.refuse(q, http.StatusTooManyRequests, overRate, max(after, quotaPause))
-		}
-	}
 	ok := q.work.Call || e.gate.Admit(now, q.way, p.Steps(q.rule, q.account), q.age > returnAfter)
 	e.mu.Unlock()
 	if !ok {
 		return e.refuse(q, http.StatusServiceUnavailable, overload, e.pause(q))
 	}
+	if a := q.account; a != nil && a.Rate > 0 {
+		var after time.Duration
+		if q.counted, after = e.Quotas.Take(ctx, a); !q.counted {
+			return e.refuse(q, http.StatusTooManyRequests, overRate, max(after, quotaPause))
+		}
+	}
 	return nil
 }
 
@@ -183,20 +180,10 @@
 	return s
 }
 
-func (e *Enter) quota(now time.Time, a *berylaccount.Account) *berylquota.Quota {
-	q := e.quotas[a.Workspace]
-	if q == nil {
-		q = berylquota.New(now, a.Rate, a.Burst, e.fleet)
-		e.quotas[a.Workspace] = q
-	}
-	q.Set(now, a.Rate, a.Burst)
-	return q
-}
-
 // Serve serves one request.
 func (e *Enter) Serve(ctx context.Context, r *berylface.Request) *berylface.Answer {
 	q := &request{Request: r}
-	a := e.check(q)
+	a := e.check(ctx, q)
 	if a == nil {
 		if q.work.Call {
 			e.Called(q.rule.Name)
--- a/io/berylenter/enter.go
+++ b/io/berylenter/enter.go
@@ -11,11 +11,11 @@
 
 	"berylspan/core/berylgate"
 	"berylspan/core/berylnames"
-	"berylspan/core/berylquota"
 	"berylspan/core/berylsends"
 	"berylspan/core/berylsplitter"
 	"berylspan/core/berylstanding"
 	"berylspan/io/berylgossip"
+	"berylspan/io/berylquotas"
 	"berylspan/io/berylreply"
 	"berylspan/io/berylview"
 	"berylspan/io/berylwork"
@@ -37,6 +37,7 @@
 	Local   func(ctx context.Context, w *berylwork.Work) *berylreply.Reply
 	Remote  func(ctx context.Context, addr string, w *berylwork.Work) *berylreply.Reply
 	Called  func(rule string)
+	Quotas  *berylquotas.Quotas
 	Log     zerolog.Logger
 	Observe func(workspace, rule string, status int, reason string, took time.Duration)
 
@@ -45,7 +46,6 @@
 	gate     *berylgate.Gate
 	splits   map[string]*berylsplitter.Splitter
 	sends    map[string]*berylsends.Sends
-	quotas   map[string]*berylquota.Quota
 	longest  map[string]time.Duration // time that first requests of a rule bring
 	peers    map[string]berylgossip.Peer
 	flights  map[*flight]struct{}
@@ -69,7 +69,6 @@
 	e.gate = berylgate.New()
 	e.splits = map[string]*berylsplitter.Splitter{}
 	e.sends = map[string]*berylsends.Sends{}
-	e.quotas = map[string]*berylquota.Quota{}
 	e.longest = map[string]time.Duration{}
 	e.peers = map[string]berylgossip.Peer{}
 	e.flights = map[*flight]struct{}{}
@@ -115,44 +114,22 @@
 			f.cancel()
 		}
 	}
-	e.share(now, s)
 	e.standing.Forget(now)
 }
 
-// share sets the parts of the workspaces' rates from what instances said.
-func (e *Enter) share(now time.Time, s *berylview.State) {
-	if s.Published == nil {
-		return
-	}
-	for workspace, q := range e.quotas {
-		a := s.Published.Account(workspace)
-		if a == nil || a.Rate <= 0 {
-			delete(e.quotas, workspace)
-			continue
-		}
-		q.Set(now, a.Rate, a.Burst)
-		others := 0.0
-		for _, p := range e.peers {
-			others += float64(p.Word.Demand[workspace]) / demandUnit
-		}
-		q.Share(now, others, e.fleet)
-	}
-}
-
-const demandUnit = 10 // a word's demand is in tenths of a request per second
-
-// Demand returns what this instance is asked for, as a word says it.
-func (e *Enter) Demand() map[string]uint32 {
+// Fleet returns the hosts that can be heard, this one included, and the number
+// of all instances.
+func (e *Enter) Fleet() (alive []string, all int) {
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	out := make(map[string]uint32, len(e.quotas))
-	for workspace, q := range e.quotas {
-		if d := uint32(q.Demand(now) * demandUnit); d > 0 {
-			out[workspace] = d
+	alive = []string{e.Host}
+	for _, p := range e.peers {
+		if now.Sub(p.Heard) < silentAfter && !p.Word.Leaving {
+			alive = append(alive, p.Host)
 		}
 	}
-	return out
+	return alive, e.fleet
 }
 
 func random() float64 { return rand.Float64() }
--- a/io/berylgossip/gossip.go
+++ b/io/berylgossip/gossip.go
@@ -20,6 +20,7 @@
 	conn *net.UDPConn
 	port uint16
 	hear func(host string, w Word)
+	more func(host string, data []byte)
 
 	mu    sync.Mutex
 	peers map[string]*Peer
@@ -30,10 +31,17 @@
 	forgetPeer = 30 * time.Second
 )
 
+// The first byte of a datagram.
+const (
+	kindWord  = 'w'
+	kindOther = 'o'
+)
+
 // New returns a gossip on conn that sends to the given port of other instances.
-// Hear is called on the receiving goroutine.
-func New(conn *net.UDPConn, port uint16, hear func(host string, w Word)) *Gossip {
-	return &Gossip{conn: conn, port: port, hear: hear, peers: map[string]*Peer{}}
+// Hear is called on the receiving goroutine with every word that is not older
+// than the one before, and more with what Pass has sent.
+func New(conn *net.UDPConn, port uint16, hear func(host string, w Word), more func(host string, data []byte)) *Gossip {
+	return &Gossip{conn: conn, port: port, hear: hear, more: more, peers: map[string]*Peer{}}
 }
 
 // Run receives until the connection is closed.
@@ -47,11 +55,15 @@
 			}
 			continue // An earlier datagram could not be delivered.
 		}
+		host := from.Addr().Unmap().String()
+		if n > 0 && buf[0] == kindOther {
+			g.more(host, buf[1:n])
+			continue
+		}
 		var w Word
-		if cbor.Unmarshal(buf[:n], &w) != nil {
+		if n == 0 || buf[0] != kindWord || cbor.Unmarshal(buf[1:n], &w) != nil {
 			continue // Not from an instance.
 		}
-		host := from.Addr().Unmap().String()
 		if g.note(host, w) {
 			g.hear(host, w)
 		}
@@ -98,13 +110,24 @@
 	if err != nil {
 		return eris.Wrap(err, "gossip")
 	}
+	data = append([]byte{kindWord}, data...)
 	for _, host := range hosts {
-		ip, err := netip.ParseAddr(host)
-		if err != nil {
-			continue // The list names an instance without an IP address.
-		}
-		// A full or closed socket; the next word follows soon.
-		_, _ = g.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(ip, g.port))
+		g.write(host, data)
 	}
 	return nil
 }
+
+// Pass sends data to one host.
+func (g *Gossip) Pass(host string, data []byte) {
+	g.write(host, append([]byte{kindOther}, data...))
+}
+
+func (g *Gossip) write(host string, data []byte) {
+	ip, err := netip.ParseAddr(host)
+	if err != nil {
+		return // The list names an instance without an IP address.
+	}
+	// A full or closed socket; what was lost is made up for by the next word
+	// or question.
+	_, _ = g.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(ip, g.port))
+}
--- /dev/null
+++ b/io/berylquotas/quotas.go
@@ -0,0 +1,297 @@
+// Package berylquotas keeps workspaces within their rates over the whole fleet.
+//
+// Tokens are borrowed from the instance that lends those of the workspace. While
+// that cannot be heard an instance falls back on its own part of the rate.
+package berylquotas
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"berylspan/core/berylaccount"
+	"berylspan/core/beryllender"
+	"berylspan/core/berylquota"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Quotas is safe for concurrent use. Send passes a message to another instance.
+type Quotas struct {
+	host string
+	send func(host string, m Message)
+
+	mu      sync.Mutex
+	alive   []string // hosts that lend, this one included
+	fleet   int
+	stocks  map[string]*stock
+	lenders map[string]*beryllender.Lender
+}
+
+// Message asks for tokens or lends them, by workspace. WaitMs says when there
+// are some again where none are lent.
+type Message struct {
+	Ask    map[string]int `cbor:"1,keyasint,omitempty"`
+	Lent   map[string]int `cbor:"2,keyasint,omitempty"`
+	WaitMs map[string]int `cbor:"3,keyasint,omitempty"`
+}
+
+// stock is what this instance holds of one workspace's tokens.
+type stock struct {
+	account *berylaccount.Account
+	own     *berylquota.Quota // used while no lender answers
+	tokens  int
+	until   time.Time // when the tokens expire
+	asked   time.Time
+	pending bool
+	denied  time.Time // until when there are none
+	answer  chan struct{}
+}
+
+const (
+	stockFor   = 0.25                   // seconds of demand that are borrowed ahead
+	mostStock  = 50                     // tokens
+	stockLife  = time.Second            // of borrowed tokens
+	askTimeout = 40 * time.Millisecond  // several times the delay between data centres
+	leastWait  = 20 * time.Millisecond  // between two questions after a denial
+	mostWait   = 100 * time.Millisecond // as above
+)
+
+// New returns quotas for the instance at host.
+func New(host string, send func(host string, m Message)) *Quotas {
+	return &Quotas{host: host, send: send, alive: []string{host}, fleet: 1, stocks: map[string]*stock{}, lenders: map[string]*beryllender.Lender{}}
+}
+
+// lender returns the host that lends the workspace's tokens. All instances that
+// hear the same others agree on it.
+func (q *Quotas) lender(workspace string) string {
+	best, most := q.host, uint64(0)
+	for _, host := range q.alive {
+		if h := xxhash.Sum64String(host + "\x00" + workspace); h >= most {
+			best, most = host, h
+		}
+	}
+	return best
+}
+
+func (q *Quotas) stock(now time.Time, a *berylaccount.Account) *stock {
+	s := q.stocks[a.Workspace]
+	if s == nil {
+		s = &stock{own: berylquota.New(now, a.Rate, a.Burst, q.fleet), answer: make(chan struct{})}
+		q.stocks[a.Workspace] = s
+	}
+	if s.account != a {
+		s.account = a
+		s.own.Set(now, a.Rate, a.Burst)
+	}
+	return s
+}
+
+// Take takes a token for one request. When there is none it returns how long
+// until there may be one.
+func (q *Quotas) Take(ctx context.Context, a *berylaccount.Account) (bool, time.Duration) {
+	now := time.Now()
+	q.mu.Lock()
+	s := q.stock(now, a)
+	s.own.Count(now)
+	if !now.Before(s.until) {
+		s.tokens = 0
+	}
+	if s.tokens > 0 {
+		s.tokens--
+		q.refill(now, s)
+		q.mu.Unlock()
+		return true, 0
+	}
+	if now.Before(s.denied) {
+		wait := s.denied.Sub(now)
+		q.mu.Unlock()
+		return false, wait
+	}
+	q.ask(now, s)
+	ch := s.answer
+	got := s.tokens > 0
+	if got {
+		s.tokens--
+	}
+	q.mu.Unlock()
+	if got {
+		return true, 0
+	}
+	return q.wait(ctx, s, ch)
+}
+
+// wait waits for the lender's answer.
+func (q *Quotas) wait(ctx context.Context, s *stock, ch chan struct{}) (bool, time.Duration) {
+	t := time.NewTimer(askTimeout)
+	defer t.Stop()
+	select {
+	case <-ch:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if s.tokens > 0 && now.Before(s.until) {
+		s.tokens--
+		q.refill(now, s)
+		return true, 0
+	}
+	if now.Before(s.denied) {
+		return false, s.denied.Sub(now)
+	}
+	return s.own.Take(now)
+}
+
+// refill borrows ahead when the stock runs low.
+func (q *Quotas) refill(now time.Time, s *stock) {
+	if s.tokens < (q.want(now, s)+1)/2 && !now.Before(s.denied) {
+		q.ask(now, s)
+	}
+}
+
+// want is how many tokens to hold.
+func (q *Quotas) want(now time.Time, s *stock) int {
+	return min(1+int(s.own.Demand(now)*stockFor), mostStock)
+}
+
+// ask asks the lender for tokens; this instance may be it.
+func (q *Quotas) ask(now time.Time, s *stock) {
+	if s.pending && now.Sub(s.asked) < askTimeout {
+		return
+	}
+	workspace := s.account.Workspace
+	want := max(1, q.want(now, s)-s.tokens)
+	to := q.lender(workspace)
+	if to == q.host {
+		n, wait := q.lend(now, s.account, want)
+		q.lent(now, s, n, wait)
+		return
+	}
+	s.pending, s.asked = true, now
+	q.send(to, Message{Ask: map[string]int{workspace: want}})
+}
+
+func (q *Quotas) lend(now time.Time, a *berylaccount.Account, want int) (int, time.Duration) {
+	l := q.lenders[a.Workspace]
+	if l == nil {
+		l = beryllender.New(now, a.Rate, a.Burst)
+		q.lenders[a.Workspace] = l
+	}
+	return l.Lend(now, want)
+}
+
+// lent takes in the lender's answer.
+func (q *Quotas) lent(now time.Time, s *stock, n int, wait time.Duration) {
+	s.pending = false
+	if n > 0 {
+		s.tokens += n
+		s.until = now.Add(stockLife)
+		s.denied = time.Time{}
+	} else {
+		s.denied = now.Add(min(max(wait, leastWait), mostWait))
+	}
+	close(s.answer)
+	s.answer = make(chan struct{})
+}
+
+// Return gives back the token of a request that did not run.
+func (q *Quotas) Return(workspace string) {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if s := q.stocks[workspace]; s != nil {
+		if !now.Before(s.until) {
+			s.tokens, s.until = 0, now.Add(stockLife)
+		}
+		s.tokens++
+	}
+}
+
+// Receive handles a message from another instance. Account finds a workspace.
+func (q *Quotas) Receive(from string, m Message, account func(workspace string) *berylaccount.Account) {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(m.Ask) > 0 {
+		out := Message{Lent: map[string]int{}, WaitMs: map[string]int{}}
+		for workspace, want := range m.Ask {
+			a := account(workspace)
+			if a == nil || q.lender(workspace) != q.host {
+				continue // The asker falls back on its own part.
+			}
+			n, wait := q.lend(now, a, min(want, mostStock))
+			out.Lent[workspace] = n
+			out.WaitMs[workspace] = int(wait.Milliseconds())
+		}
+		q.send(from, out)
+	}
+	for workspace, n := range m.Lent {
+		if s := q.stocks[workspace]; s != nil && s.pending {
+			q.lent(now, s, n, time.Duration(m.WaitMs[workspace])*time.Millisecond)
+		}
+	}
+}
+
+// Demand returns what this instance is asked for, in requests per second by
+// workspace.
+func (q *Quotas) Demand() map[string]float64 {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	out := make(map[string]float64, len(q.stocks))
+	for workspace, s := range q.stocks {
+		out[workspace] = s.own.Demand(now)
+	}
+	return out
+}
+
+// Tick sets who lends. Heard and silent hold the demand of the other instances
+// that can and cannot be heard. Fleet is the number of all instances.
+func (q *Quotas) Tick(alive []string, fleet int, heard, silent map[string]float64, account func(workspace string) *berylaccount.Account, all []string) {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.alive, q.fleet = alive, max(fleet, 1)
+	for workspace, s := range q.stocks {
+		a := account(workspace)
+		if a == nil || a.Rate <= 0 {
+			delete(q.stocks, workspace)
+			continue
+		}
+		s.account = a
+		s.own.Set(now, a.Rate, a.Burst)
+		s.own.Share(now, heard[workspace]+silent[workspace], q.fleet)
+	}
+	for _, workspace := range all {
+		a := account(workspace)
+		if a == nil || a.Rate <= 0 || q.lender(workspace) != q.host {
+			delete(q.lenders, workspace)
+			continue
+		}
+		l := q.lenders[workspace]
+		if l == nil {
+			l = beryllender.New(now, a.Rate, a.Burst)
+			q.lenders[workspace] = l
+		}
+		own := 0.0
+		if s := q.stocks[workspace]; s != nil {
+			own = s.own.Demand(now)
+		}
+		l.Set(now, a.Rate, a.Burst, reserved(own+heard[workspace], silent[workspace], len(alive), q.fleet))
+	}
+}
+
+// reserved is the part of a rate that instances which cannot be heard may be
+// using: their part of the demand, and at least that of a quiet instance.
+func reserved(heard, silent float64, alive, fleet int) float64 {
+	if alive >= fleet {
+		return 0
+	}
+	part := 0.0
+	if silent > 0 {
+		part = silent / (heard + silent)
+	}
+	return min(part, float64(fleet-alive)/float64(fleet)*2)
+}
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -44,7 +44,9 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			s.enter.Tick(s.gossip.Peers())
+			peers := s.gossip.Peers()
+			s.enter.Tick(peers)
+			s.tickQuotas(peers)
 			s.say(false)
 		}
 	}
@@ -59,7 +61,7 @@
 	st := s.view.State()
 	w := berylgossip.Word{
 		Start: s.start, Zone: set.Zone, Change: st.Change, Revision: st.Revision,
-		AgeMs: s.view.Age().Milliseconds(), Leaving: s.leaving.Load(), Demand: s.enter.Demand(),
+		AgeMs: s.view.Age().Milliseconds(), Leaving: s.leaving.Load(), Demand: s.demand(),
 	}
 	if st.Published != nil {
 		w.Version = st.Published.Version
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"berylspan/io/berylface"
 	"berylspan/io/berylgossip"
 	"berylspan/io/berylmesh"
+	"berylspan/io/berylquotas"
 	"berylspan/io/berylreply"
 	"berylspan/io/berylview"
 	"berylspan/io/berylwork"
@@ -37,6 +38,7 @@
 	gossip *berylgossip.Gossip
 	mesh   *berylmesh.Mesh
 	beside *berylbeside.Beside
+	quotas *berylquotas.Quotas
 	enter  *berylenter.Enter
 	face   *berylface.Face
 	meter  *meter
@@ -58,6 +60,7 @@
 		berylview.Pull(s.pull),
 		berylview.Place(s.place),
 		berylview.Changed(s.changed))
+	s.quotas = berylquotas.New(set.Host, s.passQuota)
 	s.enter = berylenter.New(&berylenter.Enter{
 		Names: names, Host: set.Host, Zone: set.Zone, Port: set.Port,
 		Service: func() string { return s.set.Load().Service },
@@ -65,6 +68,7 @@
 		Local:   func(ctx context.Context, w *berylwork.Work) *berylreply.Reply { return s.beside.Run(ctx, w) },
 		Remote:  s.mesh.Send,
 		Called:  func(rule string) { s.beside.Called(rule) },
+		Quotas:  s.quotas,
 		Log:     log,
 		Observe: s.meter.request,
 	})
@@ -106,7 +110,7 @@
 		return eris.New("no datagram socket")
 	}
 	s.udp = udp
-	s.gossip = berylgossip.New(udp, port(set.Port), s.hear(run))
+	s.gossip = berylgossip.New(udp, port(set.Port), s.hear(run), s.hearQuota)
 	s.face = berylface.New(callers, s.enter.Serve, s.enter.Alone, s.limits)
 	s.loops.Go(func() { s.gossip.Run(run) })
 	s.loops.Go(func() { s.view.Run(run) })
@@ -121,7 +125,7 @@
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = time.Minute
-	mostStreams   = 4 // on one connection; a lost packet holds up all of them
+	mostStreams   = 4         // on one connection; a lost packet holds up all of them
 	streamBuffer  = 256 << 10 // bytes
 	connBuffer    = 1 << 20   // bytes
 )
