--- a/core/berylcalls/calls.go
+++ b/core/berylcalls/calls.go
@@ -2,8 +2,8 @@
 //
 // It answers a service whose requests differ in what they need below: a call
 // does not say which request made it, but the more requests of a rule run, the
-// more of its calls appear. Calls are shared out among the running requests in
-// proportion to what is known so far, which converges to the true rates.
+// more of its calls appear. The rates are fitted to what was seen by least
+// squares, none of them below zero.
 package berylcalls
 
 import (
@@ -15,27 +15,43 @@
 // concurrent use.
 type Calls struct {
 	active map[string]int
-	time   map[string]float64            // seconds run, by rule
-	seen   map[string]map[string]float64 // calls, by call and rule
+	both   map[string]map[string]float64 // seconds times requests of one rule and another
+	seen   map[string]map[string]float64 // running requests at calls, by call and rule
+	fitted map[string]map[string]float64 // calls per second of running, by call and rule
+	fit    time.Time
 	at     time.Time
 	begun  bool
 }
 
 const (
-	memory    = 20.0 // seconds after which an observation counts a third
-	priorTime = 0.5  // seconds of running that stand for no knowledge
-	priorSeen = 0.5  // calls in that time
-	notable   = 0.5  // calls a second from which a rule is taken to make them
+	memory   = 30.0 // seconds after which an observation counts a third
+	fitEvery = time.Second
+	rounds   = 60   // of the fit; it has settled long before
+	ridge    = 0.05 // seconds of running that stand for no calls, so that little is concluded from little
+	notable  = 0.5  // calls a second from which a rule is taken to make them
+	related  = 0.2  // least part of the rate of the rule that makes most of them
 )
 
 // New returns a learner without knowledge.
 func New() *Calls {
-	return &Calls{active: map[string]int{}, time: map[string]float64{}, seen: map[string]map[string]float64{}}
+	return &Calls{
+		active: map[string]int{}, both: map[string]map[string]float64{},
+		seen: map[string]map[string]float64{}, fitted: map[string]map[string]float64{},
+	}
+}
+
+func row(m map[string]map[string]float64, name string) map[string]float64 {
+	r := m[name]
+	if r == nil {
+		r = map[string]float64{}
+		m[name] = r
+	}
+	return r
 }
 
 func (c *Calls) advance(now time.Time) {
 	if !c.begun {
-		c.begun, c.at = true, now
+		c.begun, c.at, c.fit = true, now, now
 		return
 	}
 	dt := now.Sub(c.at).Seconds()
@@ -43,17 +59,42 @@
 		return
 	}
 	c.at = now
-	keep := math.Exp(-dt / memory)
-	for rule := range c.time {
-		c.time[rule] *= keep
+	for a, n := range c.active {
+		r := row(c.both, a)
+		for b, m := range c.active {
+			r[b] += float64(n) * float64(m) * dt
+		}
 	}
-	for _, by := range c.seen {
-		for rule := range by {
-			by[rule] *= keep
+	if now.Sub(c.fit) >= fitEvery {
+		c.refit(now)
+	}
+}
+
+// refit lets old observations fade and solves for the rates anew.
+func (c *Calls) refit(now time.Time) {
+	keep := math.Exp(-now.Sub(c.fit).Seconds() / memory)
+	c.fit = now
+	for _, m := range []map[string]map[string]float64{c.both, c.seen} {
+		for _, r := range m {
+			for name := range r {
+				r[name] *= keep
+			}
 		}
 	}
-	for rule, n := range c.active {
-		c.time[rule] += float64(n) * dt
+	for call, by := range c.seen {
+		rates := map[string]float64{}
+		for range rounds {
+			for rule, r := range c.both {
+				rest := by[rule]
+				for other, t := range r {
+					if other != rule {
+						rest -= t * rates[other]
+					}
+				}
+				rates[rule] = max(0, rest/(r[rule]+ridge))
+			}
+		}
+		c.fitted[call] = rates
 	}
 }
 
@@ -74,33 +115,21 @@
 // Call records a call that the server made.
 func (c *Calls) Call(now time.Time, call string) {
 	c.advance(now)
-	by := c.seen[call]
-	if by == nil {
-		by = map[string]float64{}
-		c.seen[call] = by
-	}
-	total := 0.0
+	by := row(c.seen, call)
 	for rule, n := range c.active {
-		total += float64(n) * c.rate(call, rule)
+		by[rule] += float64(n)
 	}
-	if total <= 0 {
-		return
-	}
-	for rule, n := range c.active {
-		by[rule] += float64(n) * c.rate(call, rule) / total
-	}
-}
-
-// rate is in calls per second of running.
-func (c *Calls) rate(call, rule string) float64 {
-	return (c.seen[call][rule] + priorSeen) / (c.time[rule] + priorTime)
 }
 
 // Of returns the calls that requests of the rule make.
 func (c *Calls) Of(rule string) []string {
 	var out []string
-	for call := range c.seen {
-		if c.seen[call][rule] > priorSeen && c.rate(call, rule) > notable {
+	for call, rates := range c.fitted {
+		most := notable / related
+		for _, rate := range rates {
+			most = max(most, rate)
+		}
+		if rates[rule] >= most*related {
 			out = append(out, call)
 		}
 	}
--- /dev/null
+++ b/core/berylline/line_test.go
@@ -0,0 +1,121 @@
+package berylline
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func begin() time.Time { return time.Unix(1_000, 0) }
+
+func TestCallsOfRunningWorkGoBeforeNewWork(t *testing.T) {
+	l := New[string](1)
+	now := begin()
+	verdict, _ := l.Arrive(now, Ask{Kind: "root", Left: time.Second, Aim: time.Second}, "running")
+	require.Equal(t, Start, verdict)
+	l.Done(Ask{Kind: "root"}, 10*time.Millisecond, true)
+	verdict, _ = l.Arrive(now, Ask{Kind: "root", Left: time.Second, Aim: time.Second}, "running")
+	require.Equal(t, Start, verdict)
+	for _, a := range []struct {
+		name string
+		ask  Ask
+	}{
+		{"less urgent", Ask{Kind: "root", Rank: 2, Left: time.Second, Aim: time.Second}},
+		{"urgent", Ask{Kind: "root", Rank: 0, Left: time.Second, Aim: time.Second}},
+		{"late", Ask{Kind: "root", Rank: 0, Left: time.Second}},
+		{"call", Ask{Kind: "call", Call: true, Left: time.Second, Aim: time.Second}},
+	} {
+		verdict, _ = l.Arrive(now, a.ask, a.name)
+		require.Equal(t, Wait, verdict, a.name)
+	}
+	var order []string
+	for range 4 {
+		l.Done(Ask{Kind: "root"}, 10*time.Millisecond, true)
+		v, expired, ok := l.Next(now)
+		require.True(t, ok)
+		require.False(t, expired)
+		order = append(order, v)
+	}
+	require.Equal(t, []string{"call", "urgent", "less urgent", "late"}, order)
+}
+
+// A burst of three times what the server can run: in order of arrival everyone
+// would wait beyond the objective; here those that cannot make it are refused
+// when they arrive and whoever waits is served in time.
+func TestBurstIsRefusedOnArrivalAndNobodyWaitsInVain(t *testing.T) {
+	const (
+		slots = 4
+		work  = 100 * time.Millisecond
+		aim   = 400 * time.Millisecond
+	)
+	l := New[int](slots)
+	now := begin()
+	type run struct {
+		id  int
+		end time.Time
+	}
+	var running []run
+	arrived := map[int]time.Time{}
+	refused, late, served := 0, 0, 0
+	ask := Ask{Kind: "k", Left: 5 * time.Second, Aim: aim}
+	advance := func(to time.Time) {
+		for len(running) > 0 && !running[0].end.After(to) {
+			r := running[0]
+			running = running[1:]
+			l.Done(ask, work, true)
+			served++
+			if r.end.Sub(arrived[r.id]) > aim {
+				late++
+			}
+			for {
+				v, expired, ok := l.Next(r.end)
+				if !ok {
+					break
+				}
+				require.False(t, expired, "waited in vain")
+				running = append(running, run{v, r.end.Add(work)})
+			}
+		}
+	}
+	for i := range 240 { // 120 a second for 2 s, three times the capacity
+		now = begin().Add(time.Duration(i) * time.Second / 120)
+		advance(now)
+		arrived[i] = now
+		switch verdict, _ := l.Arrive(now, ask, i); verdict {
+		case Start:
+			running = append(running, run{i, now.Add(work)})
+		case Refuse:
+			refused++
+		}
+	}
+	advance(now.Add(time.Minute))
+	require.Zero(t, late, "served after the objective")
+	require.Equal(t, 240, refused+served)
+	require.GreaterOrEqual(t, served, 80, "capacity of 2 s was left unused")
+}
+
+func TestRequestThatCannotFinishIsNotStarted(t *testing.T) {
+	l := New[string](1)
+	now := begin()
+	l.Arrive(now, Ask{Kind: "k", Left: time.Second, Aim: time.Second}, "first")
+	l.Done(Ask{Kind: "k"}, 200*time.Millisecond, true)
+	l.Arrive(now, Ask{Kind: "k", Left: time.Second, Aim: time.Second}, "first")
+	verdict, _ := l.Arrive(now, Ask{Kind: "k", Left: 700 * time.Millisecond, Aim: 700 * time.Millisecond}, "second")
+	require.Equal(t, Wait, verdict)
+	l.Done(Ask{Kind: "k"}, 690*time.Millisecond, true)
+	v, expired, ok := l.Next(now.Add(690 * time.Millisecond))
+	require.True(t, ok)
+	require.True(t, expired)
+	require.Equal(t, "second", v)
+	running, waiting, _ := l.State()
+	require.Zero(t, running+waiting)
+}
+
+func TestRequestThatLeavesFreesItsPlace(t *testing.T) {
+	l := New[string](1)
+	l.Arrive(begin(), Ask{Kind: "k", Left: time.Second, Aim: time.Second}, "a")
+	l.Arrive(begin(), Ask{Kind: "k", Left: time.Second, Aim: time.Second}, "b")
+	require.True(t, l.Leave(func(v string) bool { return v == "b" }))
+	require.False(t, l.Leave(func(v string) bool { return v == "b" }))
+}
