Keep the rate after a restart of everything; drain by time; read less ahead

The lender itself fell back on its own part when it had just denied a token. Change: instances never heard keep their part reserved; after 2.5 s a stopping instance reads no more requests; an answer to a question for tokens is waited for before it is asked.

--- a/io/berylface/body.go
+++ b/io/berylface/body.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"sync"
-	"time"
 )
 
 // rest is the part of a long body that is read while the request runs.
@@ -70,7 +69,7 @@
 	if hr.ContentLength == 0 {
 		return nil, true
 	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(slowReader))
+	c.readBy(slowReader)
 	in := &counted{r: hr.Body, left: lim.Body}
 	first, err := io.ReadAll(io.LimitReader(in, wholeBody))
 	if err != nil {
@@ -79,7 +78,7 @@
 	r.Body = first
 	if len(first) < wholeBody || int64(len(first)) == hr.ContentLength {
 		r.Length = int64(len(first))
-		_ = c.nc.SetReadDeadline(time.Time{})
+		c.readBy(0)
 		return nil, true
 	}
 	b := &rest{r: in, done: make(chan struct{})}
--- a/io/berylface/conn.go
+++ b/io/berylface/conn.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	readBuffer  = 4 << 10
-	writeBuffer = 4 << 10
+	readBuffer  = 1 << 10  // bytes; most heads fit
+	writeBuffer = 4 << 10  // bytes
 	mostWaiting = 64       // requests read ahead on one connection
 	wholeBody   = 64 << 10 // bytes; longer bodies are streamed
 	slowReader  = 30 * time.Second
@@ -28,11 +28,12 @@
 	nc   net.Conn
 	in   *limited
 	br   *bufio.Reader
-	bw   *bufio.Writer
+	bw   *bufio.Writer // only while something is written
 
 	mu      sync.Mutex
 	pending int // requests read whose answers are not written
 	last    bool
+	stopped bool
 	ended   bool
 	wg      sync.WaitGroup
 }
@@ -62,7 +63,6 @@
 func newConn(f *Face, nc net.Conn) *conn {
 	c := &conn{face: f, nc: nc, in: &limited{r: nc, left: unlimited}}
 	c.br = bufio.NewReaderSize(c.in, readBuffer)
-	c.bw = bufio.NewWriterSize(nc, writeBuffer)
 	return c
 }
 
@@ -78,20 +78,22 @@
 	c.mu.Unlock()
 }
 
-func (c *conn) closeIdle() {
+// stop makes the connection read no more requests. What was read is answered.
+func (c *conn) stop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == 0 {
-		c.ended = true
-		_ = c.nc.Close() // The peer may have closed it first.
+	if c.stopped {
+		return
 	}
+	c.stopped = true
+	_ = c.nc.SetReadDeadline(time.Now()) // Wakes the reader; it fails only when closed.
 }
 
-// deadline applies to reading while no request is pending.
+// idle bounds the time without a request.
 func (c *conn) idle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == 0 {
+	if c.pending == 0 && !c.stopped {
 		_ = c.nc.SetReadDeadline(time.Now().Add(c.face.Limits().IdleTime))
 	}
 }
@@ -103,7 +105,10 @@
 	close(turn)
 	for {
 		c.idle()
-		if _, err := c.br.Peek(1); err != nil {
+		if _, err := c.br.Peek(1); err != nil || c.halted() {
+			if c.halted() {
+				<-turn // The caller may still be there for its answers.
+			}
 			break
 		}
 		lim := c.face.Limits()
@@ -137,7 +142,7 @@
 // its answer is written, and whether more requests may follow.
 func (c *conn) read(ctx context.Context, lim Limits, turn chan struct{}) (chan struct{}, bool) {
 	done := make(chan struct{})
-	_ = c.nc.SetReadDeadline(time.Now().Add(lim.HeadTime))
+	c.readBy(lim.HeadTime)
 	c.in.left = lim.Header
 	hr, err := http.ReadRequest(c.br)
 	c.in.left = unlimited
@@ -152,7 +157,7 @@
 		c.wg.Go(func() { c.reply(ctx, done, turn, &Answer{Status: status, Close: true}, false) })
 		return done, false
 	}
-	_ = c.nc.SetReadDeadline(time.Time{})
+	c.readBy(0)
 	r := &Request{Method: hr.Method, URI: hr.RequestURI, Path: hr.URL.EscapedPath(), Host: hr.Host, Header: hr.Header, Length: hr.ContentLength, At: time.Now()}
 	c.begin()
 	final := hr.Close || !hr.ProtoAtLeast(1, 1)
@@ -164,8 +169,8 @@
 	}
 	if hr.ContentLength != 0 && strings.EqualFold(hr.Header.Get("Expect"), "100-continue") {
 		<-turn
-		_, _ = c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
-		_ = c.bw.Flush() // A broken connection shows when the body is read.
+		// A broken connection shows when the body is read.
+		_, _ = c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 	rest, ok := c.body(hr, r, lim)
 	if !ok {
@@ -211,6 +216,24 @@
 	return http.StatusBadRequest
 }
 
+// readBy bounds the next reads, 0 without bound.
+func (c *conn) readBy(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case d > 0:
+		_ = c.nc.SetReadDeadline(time.Now().Add(d)) // Fails only when closed.
+	case !c.stopped:
+		_ = c.nc.SetReadDeadline(time.Time{}) // As above.
+	}
+}
+
+func (c *conn) halted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopped
+}
+
 func (c *conn) begin() {
 	c.mu.Lock()
 	c.pending++
@@ -251,7 +274,10 @@
 	}
 	c.mu.Unlock()
 	_ = c.nc.SetWriteDeadline(time.Now().Add(slowReader))
-	if err := c.write(a, end); err != nil {
+	c.bw = c.face.writer(c.nc)
+	err := c.write(a, end)
+	c.face.writers.Put(c.bw)
+	if err != nil {
 		c.abort()
 		return
 	}
--- a/io/berylface/face.go
+++ b/io/berylface/face.go
@@ -7,8 +7,10 @@
 package berylface
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -31,6 +33,7 @@
 	Limits func() Limits
 
 	ln      net.Listener
+	writers sync.Pool
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
 	leaving bool
@@ -42,6 +45,15 @@
 	return &Face{Handle: handle, Alone: alone, Limits: limits, ln: ln, conns: map[*conn]struct{}{}}
 }
 
+// writer returns a buffered writer to w.
+func (f *Face) writer(w io.Writer) *bufio.Writer {
+	if bw, ok := f.writers.Get().(*bufio.Writer); ok {
+		bw.Reset(w)
+		return bw
+	}
+	return bufio.NewWriterSize(w, writeBuffer)
+}
+
 const acceptPause = 5 * time.Millisecond // after a failed accept, such as too many open files
 
 // Run accepts connections until the listener is closed.
@@ -72,20 +84,39 @@
 	}
 }
 
-// Leave makes every connection end with its next answer, and those without a
-// request at once when idle is set.
-func (f *Face) Leave(idle bool) {
+// Leave makes every connection end with the answer after which it has no request.
+func (f *Face) Leave() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leaving = true
 	for c := range f.conns {
 		c.leave()
-		if idle {
-			c.closeIdle()
+	}
+}
+
+// Drain stops accepting connections and reading requests, and waits for at most
+// d until every request that was read is answered and its connection closed.
+func (f *Face) Drain(d time.Duration) {
+	_ = f.ln.Close() // Only fails when closed before.
+	for end := time.Now().Add(d); time.Now().Before(end) && f.open() > 0; time.Sleep(drainCheck) {
+		f.mu.Lock()
+		f.leaving = true
+		for c := range f.conns {
+			c.leave()
+			c.stop()
 		}
+		f.mu.Unlock()
 	}
 }
 
+const drainCheck = 10 * time.Millisecond
+
+func (f *Face) open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
 // Close stops accepting, cuts every connection and waits for their ends.
 func (f *Face) Close() {
 	_ = f.ln.Close() // Only fails when closed before.
--- a/io/berylface/face_test.go
+++ b/io/berylface/face_test.go
@@ -187,10 +187,34 @@
 	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	require.NoError(t, err)
 	answers(t, c, 1)
-	f.Leave(false)
+	f.Leave()
 	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	require.NoError(t, err)
 	answers(t, c, 1)
 	_, err = c.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
 }
+
+func TestDrainAnswersWhatWasReadAndReadsNoMore(t *testing.T) {
+	f, dial := serve(t, func(_ context.Context, r *Request) *Answer {
+		time.Sleep(200 * time.Millisecond)
+		return text(r.Path)
+	})
+	idle, busy := dial(), dial()
+	_, err := io.WriteString(busy, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	done := make(chan struct{})
+	go func() { f.Drain(5 * time.Second); close(done) }()
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(busy, "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	require.Equal(t, []string{"200 /1", "200 /2"}, answers(t, busy, 2))
+	_, err = idle.Read(make([]byte, 1))
+	require.Error(t, err)
+	select {
+	case <-done:
+	case <-time.After(time.Second):
+		t.Fatal("drain goes on without requests")
+	}
+}
--- a/io/berylquotas/quotas.go
+++ b/io/berylquotas/quotas.go
@@ -55,11 +55,13 @@
 	askTimeout = 40 * time.Millisecond  // several times the delay between data centres
 	leastWait  = 20 * time.Millisecond  // between two questions after a denial
 	mostWait   = 100 * time.Millisecond // as above
+
+	unknownFleet = 100 // instances, before anything is known of others; more than most fleets have
 )
 
 // New returns quotas for the instance at host.
 func New(host string, send func(host string, m Message)) *Quotas {
-	return &Quotas{host: host, send: send, alive: []string{host}, fleet: 1, stocks: map[string]*stock{}, lenders: map[string]*beryllender.Lender{}}
+	return &Quotas{host: host, send: send, alive: []string{host}, fleet: unknownFleet, stocks: map[string]*stock{}, lenders: map[string]*beryllender.Lender{}}
 }
 
 // lender returns the host that lends the workspace's tokens. All instances that
@@ -108,40 +110,46 @@
 		q.mu.Unlock()
 		return false, wait
 	}
+	ch := s.answer // Asking may answer at once.
 	q.ask(now, s)
-	ch := s.answer
-	got := s.tokens > 0
-	if got {
-		s.tokens--
-	}
 	q.mu.Unlock()
-	if got {
-		return true, 0
-	}
 	return q.wait(ctx, s, ch)
 }
 
-// wait waits for the lender's answer.
+// wait waits for the lender's answer. Only when none comes does this instance
+// fall back on its own part: answers that others have used up are asked for
+// again.
 func (q *Quotas) wait(ctx context.Context, s *stock, ch chan struct{}) (bool, time.Duration) {
 	t := time.NewTimer(askTimeout)
 	defer t.Stop()
-	select {
-	case <-ch:
-	case <-t.C:
-	case <-ctx.Done():
-	}
-	now := time.Now()
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if s.tokens > 0 && now.Before(s.until) {
-		s.tokens--
-		q.refill(now, s)
-		return true, 0
-	}
-	if now.Before(s.denied) {
-		return false, s.denied.Sub(now)
+	for {
+		answered := false
+		select {
+		case <-ch:
+			answered = true
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		now := time.Now()
+		q.mu.Lock()
+		switch {
+		case s.tokens > 0 && now.Before(s.until):
+			s.tokens--
+			q.refill(now, s)
+			q.mu.Unlock()
+			return true, 0
+		case now.Before(s.denied):
+			wait := s.denied.Sub(now)
+			q.mu.Unlock()
+			return false, wait
+		case !answered:
+			defer q.mu.Unlock()
+			return s.own.Take(now)
+		}
+		ch = s.answer
+		q.ask(now, s)
+		q.mu.Unlock()
 	}
-	return s.own.Take(now)
 }
 
 // refill borrows ahead when the stock runs low.
@@ -248,8 +256,9 @@
 }
 
 // Tick sets who lends. Heard and silent hold the demand of the other instances
-// that can and cannot be heard. Fleet is the number of all instances.
-func (q *Quotas) Tick(alive []string, fleet int, heard, silent map[string]float64, account func(workspace string) *berylaccount.Account, all []string) {
+// that can and cannot be heard. Fleet is the number of all instances and unknown
+// that of those never heard.
+func (q *Quotas) Tick(alive []string, fleet, unknown int, heard, silent map[string]float64, account func(workspace string) *berylaccount.Account, all []string) {
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -279,19 +288,16 @@
 		if s := q.stocks[workspace]; s != nil {
 			own = s.own.Demand(now)
 		}
-		l.Set(now, a.Rate, a.Burst, reserved(own+heard[workspace], silent[workspace], len(alive), q.fleet))
+		l.Set(now, a.Rate, a.Burst, reserved(own+heard[workspace], silent[workspace], len(alive), unknown))
 	}
 }
 
 // reserved is the part of a rate that instances which cannot be heard may be
-// using: their part of the demand, and at least that of a quiet instance.
-func reserved(heard, silent float64, alive, fleet int) float64 {
-	if alive >= fleet {
-		return 0
-	}
-	part := 0.0
-	if silent > 0 {
-		part = silent / (heard + silent)
+// using. One that was never heard may be asked for as much as any other.
+func reserved(heard, silent float64, alive, unknown int) float64 {
+	if heard+silent <= 0 {
+		return float64(unknown) / float64(alive+unknown)
 	}
-	return min(part, float64(fleet-alive)/float64(fleet)*2)
+	silent += heard / float64(alive) * float64(unknown)
+	return silent / (heard + silent)
 }
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -53,7 +53,12 @@
 }
 
 // changed tells others at once that something new is known here.
-func (s *Sidecar) changed() { s.say(false) }
+func (s *Sidecar) changed() {
+	s.say(false)
+	peers := s.gossip.Peers()
+	s.enter.Tick(peers)
+	s.tickQuotas(peers)
+}
 
 // say sends a word, to every known instance or to those whose turn it is.
 func (s *Sidecar) say(all bool) {
@@ -100,14 +105,14 @@
 		}
 	}
 	var out []string
-	s.turn++
+	turn := int(s.turn.Add(1))
 	for zone, hosts := range zones {
 		if all || len(seen) <= smallFleet || zone == set.Zone {
 			out = append(out, hosts...)
 			continue
 		}
 		slices.Sort(hosts)
-		out = append(out, hosts[s.turn%len(hosts)])
+		out = append(out, hosts[turn%len(hosts)])
 	}
 	return out
 }
--- a/io/berylsidecar/quotas.go
+++ b/io/berylsidecar/quotas.go
@@ -1,6 +1,7 @@
 package berylsidecar
 
 import (
+	"net"
 	"time"
 
 	"berylspan/core/berylaccount"
@@ -55,8 +56,22 @@
 		return
 	}
 	heard, silent := map[string]float64{}, map[string]float64{}
+	hosts := map[string]bool{}
+	for addr := range s.view.State().Hosts {
+		if host, _, err := net.SplitHostPort(addr); err == nil {
+			hosts[host] = true
+		}
+	}
+	delete(hosts, s.set.Load().Host)
+	unknown := len(hosts)
 	for _, peer := range peers {
 		to := heard
+		switch {
+		case hosts[peer.Host]:
+			unknown--
+		case time.Since(peer.Heard) > unlistedFor:
+			continue
+		}
 		if time.Since(peer.Heard) > aliveWithin {
 			to = silent
 		}
@@ -65,5 +80,9 @@
 		}
 	}
 	alive, fleet := s.enter.Fleet()
-	s.quotas.Tick(alive, fleet, heard, silent, s.account, p.Workspaces())
+	s.quotas.Tick(alive, fleet, unknown, heard, silent, s.account, p.Workspaces())
 }
+
+// unlistedFor is how long a silent instance counts that the list no longer
+// holds.
+const unlistedFor = 5 * time.Second
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -14,6 +14,7 @@
 	"berylspan/core/berylnames"
 	"berylspan/core/berylpublished"
 	"berylspan/io/berylbeside"
+	"berylspan/io/berylclock"
 	"berylspan/io/berylenter"
 	"berylspan/io/berylface"
 	"berylspan/io/berylgossip"
@@ -46,7 +47,7 @@
 	udp     *net.UDPConn
 	servers []*http.Server
 	leaving atomic.Bool
-	turn    int // of the peers in other data centres
+	turn    atomic.Uint32 // of the peers in other data centres
 	cancel  context.CancelFunc
 	loops   sync.WaitGroup
 }
@@ -189,7 +190,7 @@
 const (
 	drainTime  = 2500 * time.Millisecond // callers need two missed checks, a second apart, to go elsewhere
 	drainCheck = 50 * time.Millisecond
-	drainLeft  = 600 * time.Millisecond // of the grace, for closing
+	drainLeft  = 500 * time.Millisecond // of the grace, for closing
 	leaveTells = 3                      // words that say so, in case one gets lost
 	tellGap    = 30 * time.Millisecond
 )
@@ -200,21 +201,18 @@
 	begin := time.Now()
 	s.leaving.Store(true)
 	s.beside.Leave()
-	s.face.Leave(false)
+	s.face.Leave()
 	s.log.Info().Int("callers", s.face.Busy()).Int("backend", s.beside.Busy()).Msg("leaving")
 	for range leaveTells {
 		s.say(true)
 		time.Sleep(tellGap)
 	}
-	end := begin.Add(max(s.set.Load().Grace-drainLeft, drainTime))
-	for time.Now().Before(end) {
-		if time.Since(begin) > drainTime && s.face.Busy()+s.beside.Busy() == 0 {
-			break
-		}
+	berylclock.Sleep(context.Background(), time.Until(begin.Add(drainTime)))
+	s.face.Drain(time.Until(begin.Add(s.set.Load().Grace - drainLeft)))
+	for time.Since(begin) < s.set.Load().Grace-drainLeft && s.beside.Busy() > 0 {
 		time.Sleep(drainCheck)
 	}
 	s.log.Info().Int("callers", s.face.Busy()).Int("backend", s.beside.Busy()).Dur("took", time.Since(begin)).Msg("stopped")
-	s.face.Leave(true)
 	s.Close()
 }
 
