Carry one request at a time on a connection between instances

Change: own messages on kept connections, heads in HPACK, the work runs on the goroutine that reads it; an asker that leaves is noticed by looking at the connection of long work.

--- a/io/berylpool/pool.go
+++ b/io/berylpool/pool.go
@@ -10,10 +10,10 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"berylspan/core/berylnames"
+	"berylspan/io/berylprobe"
 )
 
 // Pool is safe for concurrent use.
@@ -111,23 +111,5 @@
 // quiet tells whether nothing waits to be read: neither the end of the
 // connection nor bytes that belong to no request.
 func (l *link) quiet() bool {
-	if l.br.Buffered() > 0 {
-		return false
-	}
-	sc, ok := l.nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = e == syscall.EAGAIN || e == syscall.EINTR
-		return true
-	})
-	return err == nil && alive
+	return l.br.Buffered() == 0 && berylprobe.Look(l.nc) == berylprobe.Quiet
 }
--- a/io/berylreply/reply.go
+++ b/io/berylreply/reply.go
@@ -2,6 +2,7 @@
 package berylreply
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"time"
@@ -59,3 +60,11 @@
 		_ = r.Stream.Close() // Nothing is left to report to.
 	}
 }
+
+// Reader returns the whole body.
+func (r *Reply) Reader() io.Reader {
+	if r.Stream == nil {
+		return bytes.NewReader(r.Body)
+	}
+	return io.MultiReader(bytes.NewReader(r.Body), r.Stream)
+}
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -1,7 +1,6 @@
 package berylsidecar
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -47,6 +46,7 @@
 			peers := s.gossip.Peers()
 			s.enter.Tick(peers)
 			s.tickQuotas(peers)
+			s.mesh.Tidy()
 			s.say(false)
 		}
 	}
@@ -161,12 +161,17 @@
 
 // pull fetches what the instance at addr knows.
 func (s *Sidecar) pull(ctx context.Context, addr string, version, _ int64) (*berylview.Snapshot, error) {
-	data, err := s.mesh.Get(ctx, addr, statePath+"?version="+strconv.FormatInt(version, 10))
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+statePath+"?version="+strconv.FormatInt(version, 10), nil)
 	if err != nil {
 		return nil, eris.Wrap(err, "pull")
 	}
+	resp, err := s.puller.Do(r)
+	if err != nil {
+		return nil, eris.Wrap(err, "pull")
+	}
+	defer func() { _ = resp.Body.Close() }() // Only read from.
 	var snap berylview.Snapshot
-	if err := cbor.NewDecoder(io.LimitReader(bytes.NewReader(data), mostState)).Decode(&snap); err != nil {
+	if err := cbor.NewDecoder(io.LimitReader(resp.Body, mostState)).Decode(&snap); err != nil {
 		return nil, eris.Wrap(err, "pull")
 	}
 	return &snap, nil
--- a/io/berylsidecar/settings.go
+++ b/io/berylsidecar/settings.go
@@ -12,6 +12,7 @@
 	Backend string // address of the backend server
 	Callers string // address to listen on for callers
 	Ready   string // address to listen on for readiness checks
-	Port    string // on which instances reach each other, TCP and UDP
+	Port    string // for words, knowledge and metrics, TCP and UDP
+	Work    string // port for requests between instances
 	Grace   time.Duration
 }
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -42,9 +42,11 @@
 	quotas *berylquotas.Quotas
 	enter  *berylenter.Enter
 	face   *berylface.Face
+	work   *berylmesh.Server
 	meter  *meter
 
 	udp     *net.UDPConn
+	puller  *http.Client
 	servers []*http.Server
 	leaving atomic.Bool
 	turn    atomic.Uint32 // of the peers in other data centres
@@ -56,6 +58,9 @@
 func New(set Settings, names berylnames.Names, feed berylview.Feed, log zerolog.Logger) *Sidecar {
 	s := &Sidecar{names: names, log: log, start: time.Now().UnixMilli(), meter: newMeter()}
 	s.set.Store(&set)
+	s.puller = &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: pullDial, Control: berylmesh.Unacked}).DialContext, IdleConnTimeout: pullIdle,
+	}}
 	s.mesh = berylmesh.New(names)
 	s.view = berylview.New(feed, log,
 		berylview.Pull(s.pull),
@@ -63,7 +68,7 @@
 		berylview.Changed(s.changed))
 	s.quotas = berylquotas.New(set.Host, s.passQuota)
 	s.enter = berylenter.New(&berylenter.Enter{
-		Names: names, Host: set.Host, Zone: set.Zone, Port: set.Port,
+		Names: names, Host: set.Host, Zone: set.Zone, Port: set.Work,
 		Service: func() string { return s.set.Load().Service },
 		State:   s.view.State, Age: s.view.Age,
 		Local:   func(ctx context.Context, w *berylwork.Work) *berylreply.Reply { return s.beside.Run(ctx, w) },
@@ -98,6 +103,10 @@
 	if err != nil {
 		return eris.Wrap(err, "peers")
 	}
+	work, err := lc.Listen(ctx, "tcp", net.JoinHostPort(set.Host, set.Work))
+	if err != nil {
+		return eris.Wrap(err, "work")
+	}
 	ready, err := new(net.ListenConfig).Listen(ctx, "tcp", set.Ready)
 	if err != nil {
 		return eris.Wrap(err, "readiness")
@@ -118,31 +127,22 @@
 	s.loops.Go(func() { s.beat(run) })
 	s.serve(peers, s.handler())
 	s.serve(ready, http.HandlerFunc(s.readiness))
+	s.work = s.mesh.Serve(work, s.beside.Run)
+	s.loops.Go(func() { s.work.Run(run) })
 	s.loops.Go(func() { s.face.Run(run) })
 	s.log.Info().Str("instance", set.Name).Str("zone", set.Zone).Str("service", set.Service).Str("callers", set.Callers).Msg("started")
 	return nil
 }
 
 const (
+	pullDial      = 400 * time.Millisecond // to another instance, whose knowledge is read
+	pullIdle      = 5 * time.Second
 	headerTimeout = 5 * time.Second
 	idleTimeout   = time.Minute
-	mostStreams   = 4         // on one connection; a lost packet holds up all of them
-	streamBuffer  = 256 << 10 // bytes
-	connBuffer    = 1 << 20   // bytes
 )
 
 func (s *Sidecar) serve(ln net.Listener, h http.Handler) {
-	protocols := &http.Protocols{}
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	srv := &http.Server{
-		Handler: h, Protocols: protocols, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		HTTP2: &http.HTTP2Config{
-			MaxConcurrentStreams:          mostStreams,
-			MaxReceiveBufferPerStream:     streamBuffer,
-			MaxReceiveBufferPerConnection: connBuffer,
-		},
-	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	s.servers = append(s.servers, srv)
 	s.loops.Go(func() {
 		// Ends with Close; a listener that fails shows in the log of readiness.
@@ -154,7 +154,6 @@
 
 func (s *Sidecar) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/w", s.mesh.Handler(s.beside.Run))
 	mux.HandleFunc(statePath, s.serveState)
 	mux.Handle("/metrics", s.meter.handler())
 	return mux
@@ -220,11 +219,13 @@
 func (s *Sidecar) Close() {
 	s.cancel()
 	s.face.Close()
+	s.work.Close()
 	for _, srv := range s.servers {
 		_ = srv.Close() // Nothing is left to be done about it.
 	}
 	_ = s.udp.Close() // As above.
 	s.mesh.Close()
+	s.puller.CloseIdleConnections()
 	s.loops.Wait()
 }
 
