Judge silence only where words are expected, and lend per data centre in large fleets

Change: silence counts within the data centre or in a small fleet; in a large one each data centre lends by its part of the demand, told in sums.

--- a/io/berylenter/enter.go
+++ b/io/berylenter/enter.go
@@ -58,6 +58,10 @@
 	cancel context.CancelFunc
 }
 
+// SmallFleet is the number of instances up to which every one speaks to every
+// other all the time.
+const SmallFleet = 24
+
 const (
 	silentAfter = 1300 * time.Millisecond // three words that did not come
 	farCost     = 0.06                    // seconds; stands for the bytes and delay of another data centre
@@ -110,26 +114,24 @@
 	}
 	e.fleet = len(hosts)
 	for f := range e.flights {
-		if p, ok := e.peers[f.host]; ok && now.Sub(p.Heard) > silentAfter {
+		if p, ok := e.peers[f.host]; ok && e.silent(now, p) {
 			f.cancel()
 		}
 	}
 	e.standing.Forget(now)
 }
 
-// Fleet returns the hosts that can be heard, this one included, and the number
-// of all instances.
-func (e *Enter) Fleet() (alive []string, all int) {
-	now := time.Now()
+// silent tells whether an instance should have been heard. In a large fleet only
+// those of the own data centre speak all the time.
+func (e *Enter) silent(now time.Time, p berylgossip.Peer) bool {
+	return now.Sub(p.Heard) > silentAfter && (e.fleet <= SmallFleet || p.Word.Zone == e.Zone)
+}
+
+// Fleet returns the number of all instances.
+func (e *Enter) Fleet() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	alive = []string{e.Host}
-	for _, p := range e.peers {
-		if now.Sub(p.Heard) < silentAfter && !p.Word.Leaving {
-			alive = append(alive, p.Host)
-		}
-	}
-	return alive, e.fleet
+	return e.fleet
 }
 
 func random() float64 { return rand.Float64() }
--- a/io/berylenter/run.go
+++ b/io/berylenter/run.go
@@ -127,7 +127,7 @@
 		host, _, _ := net.SplitHostPort(l.Addr) // Entries without an address are not listed.
 		if p, ok := e.peers[host]; ok && host != e.Host {
 			c.Tried = c.Tried || p.Word.Leaving
-			c.Distrust = c.Distrust || now.Sub(p.Heard) > silentAfter
+			c.Distrust = c.Distrust || e.silent(now, p)
 		}
 		cs[i] = c
 	}
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"berylspan/io/berylenter"
 	"berylspan/io/berylgossip"
 	"berylspan/io/berylview"
 
@@ -19,8 +20,9 @@
 
 const (
 	beatEvery   = 400 * time.Millisecond // between two words; three that do not come mean silence
-	smallFleet  = 24                     // instances up to which every one tells every other
 	aliveWithin = 1300 * time.Millisecond
+	forgetAfter = 10 * time.Second // an unlisted instance that fell silent is told nothing more
+	zoneApart   = 2                // places that the instances of a data centre come after those of the one before
 	statePath   = "/state"
 	mostState   = 8 << 20 // bytes
 )
@@ -60,7 +62,8 @@
 	s.tickQuotas(peers)
 }
 
-// say sends a word, to every known instance or to those whose turn it is.
+// say sends a word: to every known instance in a small fleet or when all is set,
+// else to those of the own data centre and one of each other, in turn.
 func (s *Sidecar) say(all bool) {
 	set := s.set.Load()
 	st := s.view.State()
@@ -77,14 +80,21 @@
 		w.Server = own.ID
 	}
 	w.Busy, w.Limit = s.beside.Load()
-	if err := s.gossip.Send(s.hosts(all), w); err != nil {
+	near, far, large := s.hosts(all)
+	err := s.gossip.Send(near, w)
+	if large {
+		w.Demand, w.Sums = nil, s.sums()
+	}
+	if err == nil {
+		err = s.gossip.Send(far, w)
+	}
+	if err != nil {
 		s.log.Warn().Err(err).Msg("word not sent")
 	}
 }
 
-// hosts returns the instances to tell: all of them in a small fleet, else those
-// of the own data centre and one of each other, in turn.
-func (s *Sidecar) hosts(all bool) []string {
+// hosts returns the instances to tell, those of the own data centre and others.
+func (s *Sidecar) hosts(all bool) (near, far []string, large bool) {
 	set := s.set.Load()
 	zones := map[string][]string{}
 	seen := map[string]bool{set.Host: true}
@@ -100,36 +110,55 @@
 		}
 	}
 	for _, p := range s.gossip.Peers() {
-		if time.Since(p.Heard) < 10*time.Second {
+		if time.Since(p.Heard) < forgetAfter {
 			add(p.Host, p.Word.Zone)
 		}
 	}
-	var out []string
 	turn := int(s.turn.Add(1))
+	large = len(seen) > berylenter.SmallFleet
 	for zone, hosts := range zones {
-		if all || len(seen) <= smallFleet || zone == set.Zone {
-			out = append(out, hosts...)
-			continue
+		switch {
+		case zone == set.Zone:
+			near = hosts
+		case all || !large:
+			far = append(far, hosts...)
+		default:
+			slices.Sort(hosts)
+			far = append(far, hosts[turn%len(hosts)])
 		}
-		slices.Sort(hosts)
-		out = append(out, hosts[turn%len(hosts)])
 	}
-	return out
+	return near, far, large
 }
 
 // place returns this instance's place among those alive, in an order that all
-// agree on.
+// agree on. In a large fleet the instances of one data centre come before those
+// of the next.
 func (s *Sidecar) place() int {
 	if s.leaving.Load() {
-		return smallFleet
+		return berylenter.SmallFleet
 	}
-	own := xxhash.Sum64String(s.set.Load().Host)
+	set := s.set.Load()
+	large := s.enter.Fleet() > berylenter.SmallFleet
+	own := xxhash.Sum64String(set.Host)
+	before := map[string]bool{}
 	n := 0
 	for _, p := range s.gossip.Peers() {
-		if time.Since(p.Heard) < aliveWithin && !p.Word.Leaving && xxhash.Sum64String(p.Host) < own {
+		if time.Since(p.Heard) > aliveWithin || p.Word.Leaving {
+			continue
+		}
+		if large && p.Word.Zone != set.Zone {
+			before[p.Word.Zone] = before[p.Word.Zone] || p.Word.Zone < set.Zone
+			continue
+		}
+		if xxhash.Sum64String(p.Host) < own {
 			n++
 		}
 	}
+	for _, first := range before {
+		if first {
+			n += zoneApart
+		}
+	}
 	return n
 }
 
--- a/io/berylsidecar/quotas.go
+++ b/io/berylsidecar/quotas.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"berylspan/core/berylaccount"
+	"berylspan/io/berylenter"
 	"berylspan/io/berylgossip"
 	"berylspan/io/berylquotas"
 
@@ -49,38 +50,107 @@
 	s.quotas.Receive(host, m, s.account)
 }
 
-// tickQuotas tells the quotas who can be heard and what others are asked for.
+// sums returns what the own data centre is asked for, without workspaces that
+// are far from their rates.
+func (s *Sidecar) sums() map[string]uint32 {
+	out := s.demand()
+	zone := s.set.Load().Zone
+	for _, p := range s.gossip.Peers() {
+		if p.Word.Zone == zone && time.Since(p.Heard) < aliveWithin {
+			for workspace, n := range p.Word.Demand {
+				out[workspace] += n
+			}
+		}
+	}
+	zones := float64(len(s.zones()))
+	for workspace, n := range out {
+		if a := s.account(workspace); a == nil || a.Rate <= 0 || float64(n)/demandUnit < a.Rate/zones*quiet {
+			delete(out, workspace)
+		}
+	}
+	return out
+}
+
+const quiet = 0.4 // part of a data centre's even share of a rate up to which its demand is not told
+
+// zones returns the data centres with instances.
+func (s *Sidecar) zones() map[string]bool {
+	out := map[string]bool{s.set.Load().Zone: true}
+	for _, l := range s.view.State().Hosts {
+		out[l.Zone] = true
+	}
+	return out
+}
+
+// tickQuotas tells the quotas who can be heard and what others are asked for. In
+// a large fleet each data centre has a lender of its own.
 func (s *Sidecar) tickQuotas(peers []berylgossip.Peer) {
 	p := s.view.State().Published
 	if p == nil {
 		return
 	}
+	set := s.set.Load()
+	fleet := s.enter.Fleet()
+	large := fleet > berylenter.SmallFleet
 	heard, silent := map[string]float64{}, map[string]float64{}
-	hosts := map[string]bool{}
-	for addr := range s.view.State().Hosts {
-		if host, _, err := net.SplitHostPort(addr); err == nil {
-			hosts[host] = true
+	listed := map[string]bool{}
+	unknown := map[string]bool{}
+	for addr, l := range s.view.State().Hosts {
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil || host == set.Host {
+			continue
+		}
+		listed[host] = true
+		if !large || l.Zone == set.Zone {
+			unknown[host] = true
 		}
 	}
-	delete(hosts, s.set.Load().Host)
-	unknown := len(hosts)
+	alive := []string{set.Host}
 	for _, peer := range peers {
-		to := heard
-		switch {
-		case hosts[peer.Host]:
-			unknown--
-		case time.Since(peer.Heard) > unlistedFor:
+		age := time.Since(peer.Heard)
+		if (large && peer.Word.Zone != set.Zone) || (!listed[peer.Host] && age > unlistedFor) {
 			continue
 		}
-		if time.Since(peer.Heard) > aliveWithin {
-			to = silent
+		delete(unknown, peer.Host)
+		to := silent
+		if age < aliveWithin {
+			to = heard
+			if !peer.Word.Leaving {
+				alive = append(alive, peer.Host)
+			}
 		}
 		for workspace, n := range peer.Word.Demand {
 			to[workspace] += float64(n) / demandUnit
 		}
 	}
-	alive, fleet := s.enter.Fleet()
-	s.quotas.Tick(alive, fleet, unknown, heard, silent, s.account, p.Workspaces())
+	if large {
+		s.addZones(peers, silent)
+	}
+	s.quotas.Tick(alive, fleet, len(unknown), heard, silent, s.account, p.Workspaces())
+}
+
+// addZones adds the demand of the other data centres, as each told it last.
+func (s *Sidecar) addZones(peers []berylgossip.Peer, silent map[string]float64) {
+	last := map[string]berylgossip.Peer{}
+	for _, p := range peers {
+		if zone := p.Word.Zone; zone != s.set.Load().Zone && p.Heard.After(last[zone].Heard) {
+			last[zone] = p
+		}
+	}
+	zones := s.zones()
+	pub := s.view.State().Published
+	for zone := range zones {
+		if zone == s.set.Load().Zone {
+			continue
+		}
+		for _, workspace := range pub.Workspaces() {
+			if n, ok := last[zone].Word.Sums[workspace]; ok {
+				silent[workspace] += float64(n) / demandUnit
+			} else if a := pub.Account(workspace); a != nil {
+				silent[workspace] += a.Rate / float64(len(zones)) * quiet / 2
+			}
+		}
+	}
 }
 
 // unlistedFor is how long a silent instance counts that the list no longer
