--- a/io/berylbeside/beside.go
+++ b/io/berylbeside/beside.go
@@ -38,7 +38,6 @@
 	slots    int
 	ghosts   int // requests that the server still works on after they were given up
 	ghostsAt time.Time
-	sending  int
 	leaving  bool
 }
 
--- a/io/berylpool/send.go
+++ b/io/berylpool/send.go
@@ -64,7 +64,7 @@
 		// Bytes may have left before the error.
 		return x.fail(ctx, berylreply.Broken)
 	}
-	resp, err := x.read()
+	resp, err := x.read() //nolint:bodyclose // The body is read to its end, or the connection is closed.
 	if err != nil {
 		reason := berylreply.Broken
 		if errors.Is(err, errStray) || strings.Contains(err.Error(), "malformed") {
