Stay in the own data centre until its servers are nearly full

Change: the penalty of a crowded server begins at 85 % and is small; use counts a little all the way, so that servers alike are used alike.

--- a/core/berylplace/place.go
+++ b/core/berylplace/place.go
@@ -28,8 +28,9 @@
 const (
 	unknownHold = 0.05 // seconds; of an instance that nothing is known of
 	coldHold    = 2    // factor on the time of a server that has just started
-	crowded     = 0.6  // part of the limit from which a server is taken to slow down
-	crowdCost   = 1.5  // factor on the time of a server that runs at its limit, less one
+	crowded     = 0.85 // part of the limit from which a server is taken to slow down
+	crowdCost   = 0.3  // factor on the time of a server that runs at its limit, less one
+	evenCost    = 0.15 // as above, in proportion to its use, so that servers are used alike
 	distrustful = 30   // seconds added to an instance that failed lately
 )
 
@@ -76,7 +77,7 @@
 	}
 	limit := max(c.Limit, 1)
 	use := (c.Busy + 1) / limit
-	t := hold
+	t := hold * (1 + evenCost*min(use, 1))
 	if use > crowded {
 		t += hold * crowdCost * min((use-crowded)/(1-crowded), 1)
 	}
