--- /dev/null
+++ b/io/berylview/view_test.go
@@ -0,0 +1,160 @@
+package berylview
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"berylspan/core/beryllisted"
+	"berylspan/core/berylpublished"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// feed is a store whose answers a test sets.
+type feed struct {
+	mu   sync.Mutex
+	all  func() (*Batch, error)
+	next func() (*Batch, error)
+	n    int
+}
+
+func (f *feed) feed() Feed {
+	return Feed{
+		All: func(context.Context) (*Batch, error) { f.mu.Lock(); defer f.mu.Unlock(); f.n++; return f.all() },
+		Next: func(context.Context, int64, time.Duration) (*Batch, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.n++
+			return f.next()
+		},
+		Decode: func([]byte) (*berylpublished.Published, error) { return version(9), nil },
+	}
+}
+
+func (f *feed) set(next func() (*Batch, error)) {
+	f.mu.Lock()
+	f.next = next
+	f.mu.Unlock()
+}
+
+func version(n int64) *berylpublished.Published { return berylpublished.New(n, nil, nil) }
+
+func server(id string) beryllisted.Listed {
+	return beryllisted.Listed{ID: id, Service: "s", Zone: "z", Addr: "10.0.0." + id + ":80", Slots: 5, Born: 1}
+}
+
+func start(t *testing.T, f *feed, opts ...func(*View)) *View {
+	t.Helper()
+	v := New(f.feed(), zerolog.Nop(), opts...)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { v.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return v
+}
+
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	require.Eventually(t, ok, 5*time.Second, 5*time.Millisecond)
+}
+
+func first() (*Batch, error) {
+	return &Batch{Revision: 5, Whole: true, Raw: []byte("x"), Published: version(3), Set: []beryllisted.Listed{server("1"), server("2")}}, nil
+}
+
+func nothing() (*Batch, error) { return &Batch{Revision: 6}, nil }
+
+func known(v *View) bool { return v.State().Published != nil }
+
+func TestConfigurationsNeverGoBack(t *testing.T) {
+	f := &feed{all: first, next: func() (*Batch, error) { return &Batch{Revision: 7, Published: version(2)}, nil }}
+	v := start(t, f)
+	eventually(t, func() bool { return v.State().Revision == 7 })
+	require.Equal(t, int64(3), v.State().Published.Version)
+}
+
+func TestDroppedHistoryIsReadAnew(t *testing.T) {
+	f := &feed{all: first, next: func() (*Batch, error) { return nil, ErrHistory }}
+	v := start(t, f)
+	eventually(t, func() bool { return known(v) })
+	f.mu.Lock()
+	f.all = func() (*Batch, error) {
+		return &Batch{Revision: 30, Whole: true, Published: version(4), Set: []beryllisted.Listed{server("2")}}, nil
+	}
+	f.mu.Unlock()
+	eventually(t, func() bool { return v.State().Published.Version == 4 })
+	require.NotContains(t, v.State().Listed, "1")
+	require.Contains(t, v.State().Listed, "2")
+}
+
+func TestOfTwoEntriesWithOneAddressTheLaterLifetimeHolds(t *testing.T) {
+	f := &feed{all: first, next: func() (*Batch, error) {
+		l := server("1")
+		l.ID, l.Born, l.Service = "3", 2, "other"
+		return &Batch{Revision: 8, Set: []beryllisted.Listed{l}}, nil
+	}}
+	v := start(t, f)
+	eventually(t, func() bool { return len(v.State().Services["other"]) == 1 })
+	require.Len(t, v.State().Services["s"], 1)
+}
+
+func TestEntriesThatEndInAnOutageStayAMomentLonger(t *testing.T) {
+	var mu sync.Mutex
+	now := time.Unix(1_000, 0)
+	clock := func() time.Time { mu.Lock(); defer mu.Unlock(); return now }
+	advance := func(d time.Duration) { mu.Lock(); now = now.Add(d); mu.Unlock() }
+	f := &feed{all: first, next: func() (*Batch, error) { return nil, errors.New("down") }}
+	v := start(t, f, Clock(clock))
+	eventually(t, func() bool { advance(time.Millisecond); return known(v) })
+	advance(10 * time.Second) // The store is away.
+	f.set(func() (*Batch, error) { return &Batch{Revision: 20, Gone: []string{"1"}}, nil })
+	eventually(t, func() bool { advance(50 * time.Millisecond); return v.State().Revision == 20 })
+	require.Contains(t, v.State().Listed, "1", "it may come back")
+	f.set(nothing)
+	eventually(t, func() bool { advance(50 * time.Millisecond); return len(v.State().Listed) == 1 })
+}
+
+func TestWithoutAnOutageAnEntryThatIsGoneGoesAtOnce(t *testing.T) {
+	f := &feed{all: first, next: func() (*Batch, error) { return &Batch{Revision: 20, Gone: []string{"1"}}, nil }}
+	v := start(t, f)
+	eventually(t, func() bool { return v.State().Revision == 20 })
+	require.NotContains(t, v.State().Listed, "1")
+}
+
+func TestWhatAnotherInstanceReadIsTakenFromIt(t *testing.T) {
+	f := &feed{all: first, next: nothing}
+	pulls := 0
+	v := start(t, f, Place(func() int { return 1 }), Pull(func(context.Context, string, int64, int64) (*Snapshot, error) {
+		pulls++
+		return &Snapshot{Version: 9, Raw: []byte("y"), Change: 50, Revision: 50, Listed: []beryllisted.Listed{server("7")}}, nil
+	}))
+	eventually(t, func() bool { return known(v) })
+	ctx := context.Background()
+	v.Hear(ctx, "peer", 9, 50, 50, 0)
+	eventually(t, func() bool { return v.State().Published.Version == 9 })
+	require.Contains(t, v.State().Listed, "7")
+	v.Hear(ctx, "peer", 3, 5, 5, 0)
+	time.Sleep(50 * time.Millisecond)
+	require.Equal(t, 1, pulls, "older knowledge is not fetched")
+}
+
+func TestWordsOfAReaderKeepOthersFromReading(t *testing.T) {
+	f := &feed{all: first, next: nothing}
+	v := start(t, f, Place(func() int { return 1 }))
+	eventually(t, func() bool { return known(v) })
+	f.mu.Lock()
+	before := f.n
+	f.mu.Unlock()
+	for range 20 {
+		s := v.State()
+		v.Hear(context.Background(), "peer", 3, s.Change, s.Revision+1, 0)
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	require.Equal(t, before, f.n)
+}
