--- a/io/berylenter/run.go
+++ b/io/berylenter/run.go
@@ -31,6 +31,11 @@
 
 // run sends a request until it has an answer or must end without one.
 func (e *Enter) run(parent context.Context, q *request) *berylface.Answer {
+	if q.Gone() {
+		// It may have waited unread for long on a busy instance.
+		q.reason = berylreply.Canceled
+		return &berylface.Answer{Abort: true}
+	}
 	ctx, cancel := context.WithDeadline(parent, q.work.Until)
 	t := &tries{tried: map[string]bool{}}
 	e.mu.Lock()
--- a/io/berylface/conn.go
+++ b/io/berylface/conn.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"berylspan/io/berylprobe"
 )
 
 const (
@@ -159,6 +161,7 @@
 	}
 	c.readBy(0)
 	r := &Request{Method: hr.Method, URI: hr.RequestURI, Path: hr.URL.EscapedPath(), Host: hr.Host, Header: hr.Header, Length: hr.ContentLength, At: time.Now()}
+	r.Gone = func() bool { return berylprobe.Look(c.nc) == berylprobe.Closed }
 	c.begin()
 	final := hr.Close || !hr.ProtoAtLeast(1, 1)
 	if hr.ContentLength > lim.Body {
--- a/io/berylface/request.go
+++ b/io/berylface/request.go
@@ -8,7 +8,8 @@
 
 // Request is one request of a caller. URI and Host are as they were sent. Body
 // is the whole body unless Stream is set, which then yields what follows Body.
-// Length is the length of the whole body, -1 when unknown.
+// Length is the length of the whole body, -1 when unknown. Gone tells whether the
+// caller has closed its connection, also before anyone was told.
 type Request struct {
 	Method string
 	URI    string
@@ -19,4 +20,5 @@
 	Stream io.Reader
 	Length int64
 	At     time.Time // when its head was complete
+	Gone   func() bool
 }
--- a/io/berylprobe/probe.go
+++ b/io/berylprobe/probe.go
@@ -27,7 +27,8 @@
 		return Closed
 	}
 	state := Closed
-	err = raw.Read(func(fd uintptr) bool {
+	// Control, unlike Read, does not wait for a reader that is blocked.
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
@@ -36,7 +37,6 @@
 		case e == nil && n > 0:
 			state = Data
 		}
-		return true
 	})
 	if err != nil {
 		return Closed
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -215,6 +215,11 @@
 	s.Close()
 }
 
+// Enter serves one request of a caller as if it had come to the face.
+func (s *Sidecar) Enter(ctx context.Context, r *berylface.Request) *berylface.Answer {
+	return s.enter.Serve(ctx, r)
+}
+
 // Close ends everything at once.
 func (s *Sidecar) Close() {
 	s.cancel()
