Keep entries that came back at another instance, and read everything anew at times

One instance saw entries end after the outage and kept them for 2 s; another saw them come back first and passed that on; the first then dropped them for good, as entries only change when something but their sequence does. Change: knowledge from a peer replaces own lapses and brings the peer's; everything is read anew every 8 s; a whole read counts as gone only what it does not hold.

--- a/io/berylview/peers.go
+++ b/io/berylview/peers.go
@@ -20,6 +20,12 @@
 	for _, l := range s.Listed {
 		out.Listed = append(out.Listed, l)
 	}
+	if m := v.lapses.Load(); m != nil {
+		out.Lapsed = make(map[string]int64, len(*m))
+		for id, until := range *m {
+			out.Lapsed[id] = until.Sub(v.clock()).Milliseconds()
+		}
+	}
 	return out
 }
 
@@ -102,6 +108,12 @@
 		}
 		s.index()
 		changed = true
+		// What this instance saw end may have come back since.
+		v.lapsed = make(map[string]time.Time, len(snap.Lapsed))
+		for id, ms := range snap.Lapsed {
+			v.lapsed[id] = v.clock().Add(time.Duration(ms) * time.Millisecond)
+		}
+		v.shareLapses()
 	}
 	if fresh := v.clock().Add(-time.Duration(snap.AgeMs) * time.Millisecond); fresh.After(old.Fresh) && snap.Change >= old.Change {
 		s.Fresh = fresh
--- a/io/berylview/view.go
+++ b/io/berylview/view.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -35,9 +36,11 @@
 	pulling bool
 	lost    bool // the history that would be continued is gone
 	called  time.Time
+	whole   time.Time // when everything was read last
 	failed  bool
 	outage  time.Time // end of the last time in which the store could not be read
 	lapsed  map[string]time.Time
+	lapses  atomic.Pointer[map[string]time.Time] // a copy for other goroutines
 }
 
 // Snapshot is what one instance passes on to another.
@@ -48,6 +51,7 @@
 	Revision int64                `cbor:"4,keyasint"`
 	AgeMs    int64                `cbor:"5,keyasint"`
 	Listed   []beryllisted.Listed `cbor:"6,keyasint"`
+	Lapsed   map[string]int64     `cbor:"7,keyasint,omitempty"` // milliseconds that entries are kept which have ended
 }
 
 const (
@@ -63,6 +67,7 @@
 	lapseTime   = 2 * time.Second // in which entries that ended in an outage come back
 	outageAfter = 6 * time.Second // after an outage, entries that end may come back
 	outageFrom  = 3 * time.Second // age of knowledge that counts as an outage
+	wholeEvery  = 8 * time.Second // between two reads of everything, in case a change was missed
 )
 
 // Pull sets how knowledge is fetched from another instance.
@@ -118,7 +123,7 @@
 		return
 	}
 	v.reading, v.called = true, now
-	whole := v.lost || s.Revision == 0
+	whole := v.lost || s.Revision == 0 || now.Sub(v.whole) > wholeEvery
 	go v.read(ctx, whole, s.Revision) // Ends within readTimeout.
 }
 
@@ -163,6 +168,9 @@
 		v.log.Info().Int64("revision", b.Revision).Msg("store regained")
 	}
 	v.failed, v.lost = false, v.lost && !b.Whole
+	if b.Whole {
+		v.whole = now
+	}
 	if s := v.State(); !s.Fresh.IsZero() && now.Sub(s.Fresh) > outageFrom {
 		v.outage = now
 	}
@@ -187,8 +195,14 @@
 	listed := make(map[string]beryllisted.Listed, len(old.Listed)+len(b.Set))
 	gone := b.Gone
 	if b.Whole {
+		there := make(map[string]bool, len(b.Set))
+		for _, l := range b.Set {
+			there[l.ID] = true
+		}
 		for id := range old.Listed {
-			gone = append(gone, id)
+			if !there[id] {
+				gone = append(gone, id)
+			}
 		}
 	}
 	for id, l := range old.Listed {
@@ -202,7 +216,10 @@
 		if !had {
 			before, had = old.Listed[l.ID]
 		}
-		delete(v.lapsed, l.ID)
+		if _, waits := v.lapsed[l.ID]; waits {
+			delete(v.lapsed, l.ID)
+			v.shareLapses()
+		}
 		listed[l.ID] = l
 		if !had || !before.Same(l) {
 			mattered = true
@@ -232,6 +249,7 @@
 	}
 	if !l.Leaving && !v.outage.IsZero() && now.Sub(v.outage) < outageAfter {
 		v.lapsed[id] = now.Add(lapseTime)
+		v.shareLapses()
 		return false
 	}
 	delete(listed, id)
@@ -239,6 +257,12 @@
 	return true
 }
 
+// shareLapses copies the lapses for other goroutines.
+func (v *View) shareLapses() {
+	m := maps.Clone(v.lapsed)
+	v.lapses.Store(&m)
+}
+
 // lapse drops entries that did not come back.
 func (v *View) lapse(now time.Time) {
 	var due []string
@@ -261,6 +285,7 @@
 		delete(s.Listed, id)
 		v.log.Info().Str("instance", id).Msg("list entry did not come back")
 	}
+	v.shareLapses()
 	s.Change = max(s.Revision, old.Change+1)
 	s.index()
 	v.now.Store(&s)
--- a/io/berylview/view_test.go
+++ b/io/berylview/view_test.go
@@ -118,6 +118,59 @@
 	eventually(t, func() bool { advance(50 * time.Millisecond); return len(v.State().Listed) == 1 })
 }
 
+// This instance sees entries end after an outage; another sees them come back
+// first and passes that on.
+func TestEntriesThatCameBackAtAnotherInstanceStay(t *testing.T) {
+	var mu sync.Mutex
+	now := time.Unix(1_000, 0)
+	clock := func() time.Time { mu.Lock(); defer mu.Unlock(); return now }
+	advance := func(d time.Duration) { mu.Lock(); now = now.Add(d); mu.Unlock() }
+	f := &feed{all: first, next: func() (*Batch, error) { return nil, errors.New("down") }}
+	v := start(t, f, Clock(clock), Pull(func(context.Context, string, int64, int64) (*Snapshot, error) {
+		return &Snapshot{Version: 3, Change: 60, Revision: 60, Listed: []beryllisted.Listed{server("1"), server("2")}}, nil
+	}))
+	eventually(t, func() bool { advance(time.Millisecond); return known(v) })
+	advance(10 * time.Second)
+	f.set(func() (*Batch, error) { return &Batch{Revision: 20, Gone: []string{"1"}}, nil })
+	eventually(t, func() bool { advance(50 * time.Millisecond); return v.State().Revision == 20 })
+	f.set(nothing)
+	f.mu.Lock()
+	f.all = func() (*Batch, error) { return nil, errors.New("down") }
+	f.mu.Unlock()
+	v.Hear(context.Background(), "peer", 3, 60, 60, 0)
+	eventually(t, func() bool { return v.State().Change == 60 })
+	for range 60 {
+		advance(50 * time.Millisecond)
+		time.Sleep(5 * time.Millisecond)
+	}
+	require.Contains(t, v.State().Listed, "1")
+}
+
+// A change was missed: nothing in the history tells of it any more.
+func TestEverythingIsReadAnewFromTimeToTime(t *testing.T) {
+	var mu sync.Mutex
+	now := time.Unix(1_000, 0)
+	clock := func() time.Time { mu.Lock(); defer mu.Unlock(); return now }
+	f := &feed{all: first, next: nothing}
+	v := start(t, f, Clock(clock))
+	eventually(t, func() bool { return known(v) })
+	change := v.State().Change
+	f.mu.Lock()
+	f.all = func() (*Batch, error) {
+		b, err := first()
+		b.Set = append(b.Set, server("3"))
+		return b, err
+	}
+	f.mu.Unlock()
+	eventually(t, func() bool {
+		mu.Lock()
+		now = now.Add(100 * time.Millisecond)
+		mu.Unlock()
+		return len(v.State().Listed) == 3
+	})
+	require.Greater(t, v.State().Change, change)
+}
+
 func TestWithoutAnOutageAnEntryThatIsGoneGoesAtOnce(t *testing.T) {
 	f := &feed{all: first, next: func() (*Batch, error) { return &Batch{Revision: 20, Gone: []string{"1"}}, nil }}
 	v := start(t, f)
