Share bursts between lenders, let calls wait as their time allows, bound closing

Change: even parts of the burst per lender, data centres that told nothing count for more, closing takes 0.3 s at most, queues are bounded by time.

--- a/core/beryllender/lender.go
+++ b/core/beryllender/lender.go
@@ -29,10 +29,11 @@
 }
 
 // Set changes the limits; reserved is the part that instances use which cannot
-// ask.
-func (l *Lender) Set(now time.Time, rate, burst, reserved float64) {
+// ask. Of several lenders, each for some of the instances, every one has an even
+// part of the burst: what the others are asked for is known too late for that.
+func (l *Lender) Set(now time.Time, rate, burst, reserved float64, lenders int) {
 	l.fill(now)
-	l.rate, l.burst = rate*(1-reserved), burst*(1-reserved)
+	l.rate, l.burst = rate*(1-reserved), burst*min(1-reserved, 1/float64(max(lenders, 1)))
 	l.tokens = min(l.tokens, l.most())
 }
 
--- a/core/beryllender/lender_test.go
+++ b/core/beryllender/lender_test.go
@@ -50,7 +50,21 @@
 func TestReservedPartIsNotLent(t *testing.T) {
 	now := time.Unix(1_000, 0)
 	l := New(now, 10, 10)
-	l.Set(now, 10, 10, 0.5)
+	l.Set(now, 10, 10, 0.5, 1)
 	n, _ := l.Lend(now.Add(time.Second), 100)
 	require.Equal(t, 4, n)
 }
+
+// Four data centres lend at once and none has heard what the others are asked
+// for: their bursts together are no more than the workspace's.
+func TestLendersShareTheBurst(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	sum := 0
+	for range 4 {
+		l := New(now, 100, 100)
+		l.Set(now, 100, 100, 0.2, 4)
+		n, _ := l.Lend(now.Add(time.Minute), 1000)
+		sum += n
+	}
+	require.LessOrEqual(t, sum, 100)
+}
--- a/core/berylline/line.go
+++ b/core/berylline/line.go
@@ -51,7 +51,7 @@
 	smooth      = 0.05  // weight of the newest time in a moving mean
 	firstHold   = 0.05  // seconds; of a kind not yet seen
 	spread      = 1.4   // factor from a mean time to one that most requests keep
-	mostWaiting = 6     // waiting requests for each that may run
+	mostWaiting = 40    // waiting requests for each that may run; time bounds the queue long before
 	leastQueue  = 32    // waiting requests that are always held
 	callShare   = 0.9   // part of the slots that calls may seem to take for good
 	lateRank    = 1_000 // added to the rank of a request past its aim
--- a/core/berylline/line_test.go
+++ b/core/berylline/line_test.go
@@ -119,3 +119,27 @@
 	require.True(t, l.Leave(func(v string) bool { return v == "b" }))
 	require.False(t, l.Leave(func(v string) bool { return v == "b" }))
 }
+
+// A wave of short calls, several hundred at once: each refused one would waste
+// the whole request above it, although all of them fit into the time they have.
+func TestAWaveOfCallsWaitsAsLongAsItsTimeAllows(t *testing.T) {
+	const slots, work = 50, 15 * time.Millisecond
+	l := New[int](slots)
+	now := begin()
+	ask := Ask{Call: true, Kind: "call", Left: 700 * time.Millisecond, Aim: 700 * time.Millisecond}
+	l.Arrive(now, ask, 0)
+	l.Done(ask, work, true)
+	refused := 0
+	for i := range 1500 { // 450 ms of work
+		if verdict, _ := l.Arrive(now, ask, i); verdict == Refuse {
+			refused++
+		}
+	}
+	require.Zero(t, refused)
+	for i := range 2000 { // far more than fits
+		if verdict, _ := l.Arrive(now, ask, i); verdict == Refuse {
+			refused++
+		}
+	}
+	require.Positive(t, refused)
+}
--- a/io/berylquotas/quotas.go
+++ b/io/berylquotas/quotas.go
@@ -257,8 +257,8 @@
 
 // Tick sets who lends. Heard and silent hold the demand of the other instances
 // that can and cannot be heard. Fleet is the number of all instances and unknown
-// that of those never heard.
-func (q *Quotas) Tick(alive []string, fleet, unknown int, heard, silent map[string]float64, account func(workspace string) *berylaccount.Account, all []string) {
+// that of those never heard; lenders is how many lend tokens of one workspace.
+func (q *Quotas) Tick(alive []string, fleet, unknown, lenders int, heard, silent map[string]float64, account func(workspace string) *berylaccount.Account, all []string) {
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -288,7 +288,7 @@
 		if s := q.stocks[workspace]; s != nil {
 			own = s.own.Demand(now)
 		}
-		l.Set(now, a.Rate, a.Burst, reserved(own+heard[workspace], silent[workspace], len(alive), unknown))
+		l.Set(now, a.Rate, a.Burst, reserved(own+heard[workspace], silent[workspace], len(alive), unknown), lenders)
 	}
 }
 
--- a/io/berylquotas/quotas_test.go
+++ b/io/berylquotas/quotas_test.go
@@ -19,7 +19,7 @@
 	var all []*Quotas
 	for i := range instances {
 		q := New(string(rune('a'+i)), func(string, Message) {})
-		q.Tick([]string{q.host}, instances, instances-1, nil, nil, account, []string{"w"})
+		q.Tick([]string{q.host}, instances, instances-1, 1, nil, nil, account, []string{"w"})
 		all = append(all, q)
 	}
 	took := 0
--- a/io/berylsidecar/quotas.go
+++ b/io/berylsidecar/quotas.go
@@ -123,10 +123,12 @@
 			to[workspace] += float64(n) / demandUnit
 		}
 	}
+	lenders := 1
 	if large {
+		lenders = len(s.zones())
 		s.addZones(peers, silent)
 	}
-	s.quotas.Tick(alive, fleet, len(unknown), heard, silent, s.account, p.Workspaces())
+	s.quotas.Tick(alive, fleet, len(unknown), lenders, heard, silent, s.account, p.Workspaces())
 }
 
 // addZones adds the demand of the other data centres, as each told it last.
@@ -147,7 +149,7 @@
 			if n, ok := last[zone].Word.Sums[workspace]; ok {
 				silent[workspace] += float64(n) / demandUnit
 			} else if a := pub.Account(workspace); a != nil {
-				silent[workspace] += a.Rate / float64(len(zones)) * quiet / 2
+				silent[workspace] += a.Rate / float64(len(zones)) * quiet
 			}
 		}
 	}
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -189,7 +189,7 @@
 const (
 	drainTime  = 2500 * time.Millisecond // callers need two missed checks, a second apart, to go elsewhere
 	drainCheck = 50 * time.Millisecond
-	drainLeft  = 500 * time.Millisecond // of the grace, for closing
+	drainLeft  = 800 * time.Millisecond // of the grace, for closing
 	leaveTells = 3                      // words that say so, in case one gets lost
 	tellGap    = 30 * time.Millisecond
 )
@@ -212,9 +212,18 @@
 		time.Sleep(drainCheck)
 	}
 	s.log.Info().Int("callers", s.face.Busy()).Int("backend", s.beside.Busy()).Dur("took", time.Since(begin)).Msg("stopped")
-	s.Close()
+	closed := make(chan struct{})
+	go func() { s.Close(); close(closed) }() // Ends with the process at the latest.
+	select {
+	case <-closed:
+	case <-time.After(closeTime):
+		s.log.Warn().Msg("closing took too long")
+	}
 }
 
+// closeTime bounds what remains to be done once nothing is served any more.
+const closeTime = 300 * time.Millisecond
+
 // Enter serves one request of a caller as if it had come to the face.
 func (s *Sidecar) Enter(ctx context.Context, r *berylface.Request) *berylface.Answer {
 	return s.enter.Serve(ctx, r)
