--- a/core/berylcalls/calls.go
+++ b/core/berylcalls/calls.go
@@ -28,7 +28,7 @@
 	fitEvery = time.Second
 	rounds   = 60   // of the fit; it has settled long before
 	ridge    = 0.05 // seconds of running that stand for no calls, so that little is concluded from little
-	notable  = 0.5  // calls a second from which a rule is taken to make them
+	notable  = 0.02 // calls a second from which a rule is taken to make them; requests that are stuck in their calls make few
 	related  = 0.2  // least part of the rate of the rule that makes most of them
 )
 
--- a/core/berylcalls/calls_test.go
+++ b/core/berylcalls/calls_test.go
@@ -38,3 +38,19 @@
 	require.Equal(t, []string{"below"}, c.Of("calling"))
 	require.Empty(t, c.Of("plain"))
 }
+
+// Requests are stuck in their calls for seconds: the link must not be forgotten
+// just when the shortage below is at its worst.
+func TestCallsOfStuckRequestsAreNotForgotten(t *testing.T) {
+	c := New()
+	now := time.Unix(1_000, 0)
+	for range 200 {
+		c.Start(now, "calling")
+		c.Call(now.Add(10*time.Millisecond), "below")
+		c.Start(now.Add(20*time.Millisecond), "calling")
+		now = now.Add(3 * time.Second)
+		c.End(now, "calling")
+		c.End(now, "calling")
+	}
+	require.Equal(t, []string{"below"}, c.Of("calling"))
+}
--- a/core/berylgate/gate.go
+++ b/core/berylgate/gate.go
@@ -29,7 +29,7 @@
 	forget    = 0.25 // part that opens again each second without a report
 	important = 3.0  // factor of the part let in, a step of importance
 	back      = 2.0  // factor for requests that come back
-	least     = 0.05 // let in at least, so that a way is tried
+	least     = 0.02 // let in at least, so that a way is tried
 )
 
 // New returns a gate that lets everything through.
--- a/core/berylthrottle/throttle.go
+++ b/core/berylthrottle/throttle.go
@@ -25,7 +25,7 @@
 	step    = 200 * time.Millisecond // between two looks at the load
 	target  = 0.90                   // part of the slots that may be asked for
 	gain    = 0.5                    // exponent of the correction, for a steady approach
-	least   = 0.08                   // so that the end of an overload is noticed
+	least   = 0.03                   // so that the end of an overload is noticed
 	recover = 0.04                   // opened again in each step
 	deepest = 0.6                    // least factor of one step
 )
