Fix the part of a silent instance when it falls silent

A third of the instances were cut off one by one, then a workspace became eight times as busy: each side saw its own demand grow and the others' as it was, and took more of the rate. Change: the part of an instance that cannot be heard is fixed from what all were asked for when it fell silent; one never heard keeps an even part.

--- a/io/berylquotas/quotas.go
+++ b/io/berylquotas/quotas.go
@@ -255,10 +255,10 @@
 	return out
 }
 
-// Tick sets who lends. Heard and silent hold the demand of the other instances
-// that can and cannot be heard. Fleet is the number of all instances and unknown
-// that of those never heard; lenders is how many lend tokens of one workspace.
-func (q *Quotas) Tick(alive []string, fleet, unknown, lenders int, heard, silent map[string]float64, account func(workspace string) *berylaccount.Account, all []string) {
+// Tick sets who lends. Others holds the demand of the other instances; reserved
+// returns the part of a rate that those use which cannot be heard. Fleet is the
+// number of all instances; lenders is how many lend tokens of one workspace.
+func (q *Quotas) Tick(alive []string, fleet, lenders int, others map[string]float64, reserved func(workspace string) float64, account func(workspace string) *berylaccount.Account, all []string) {
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -271,7 +271,7 @@
 		}
 		s.account = a
 		s.own.Set(now, a.Rate, a.Burst)
-		s.own.Share(now, heard[workspace]+silent[workspace], q.fleet)
+		s.own.Share(now, others[workspace], q.fleet)
 	}
 	for _, workspace := range all {
 		a := account(workspace)
@@ -284,20 +284,6 @@
 			l = beryllender.New(now, a.Rate, a.Burst)
 			q.lenders[workspace] = l
 		}
-		own := 0.0
-		if s := q.stocks[workspace]; s != nil {
-			own = s.own.Demand(now)
-		}
-		l.Set(now, a.Rate, a.Burst, reserved(own+heard[workspace], silent[workspace], len(alive), unknown), lenders)
-	}
-}
-
-// reserved is the part of a rate that instances which cannot be heard may be
-// using. One that was never heard may be asked for as much as any other.
-func reserved(heard, silent float64, alive, unknown int) float64 {
-	if heard+silent <= 0 {
-		return float64(unknown) / float64(alive+unknown)
+		l.Set(now, a.Rate, a.Burst, reserved(workspace), lenders)
 	}
-	silent += heard / float64(alive) * float64(unknown)
-	return silent / (heard + silent)
 }
--- a/io/berylsidecar/quotas.go
+++ b/io/berylsidecar/quotas.go
@@ -92,9 +92,9 @@
 	set := s.set.Load()
 	fleet := s.enter.Fleet()
 	large := fleet > berylenter.SmallFleet
-	heard, silent := map[string]float64{}, map[string]float64{}
+	demand := map[string]map[string]float64{}
+	silent := map[string]bool{}
 	listed := map[string]bool{}
-	unknown := map[string]bool{}
 	for addr, l := range s.view.State().Hosts {
 		host, _, err := net.SplitHostPort(addr)
 		if err != nil || host == set.Host {
@@ -102,7 +102,7 @@
 		}
 		listed[host] = true
 		if !large || l.Zone == set.Zone {
-			unknown[host] = true
+			silent[host] = true // Until it was heard.
 		}
 	}
 	alive := []string{set.Host}
@@ -111,45 +111,93 @@
 		if (large && peer.Word.Zone != set.Zone) || (!listed[peer.Host] && age > unlistedFor) {
 			continue
 		}
-		delete(unknown, peer.Host)
-		to := silent
-		if age < aliveWithin {
-			to = heard
-			if !peer.Word.Leaving {
-				alive = append(alive, peer.Host)
-			}
+		demand[peer.Host] = scale(peer.Word.Demand)
+		if silent[peer.Host] = age >= aliveWithin; silent[peer.Host] {
+			continue
 		}
-		for workspace, n := range peer.Word.Demand {
-			to[workspace] += float64(n) / demandUnit
+		delete(silent, peer.Host)
+		if !peer.Word.Leaving {
+			alive = append(alive, peer.Host)
 		}
 	}
 	lenders := 1
 	if large {
 		lenders = len(s.zones())
-		s.addZones(peers, silent)
+		s.addZones(peers, demand)
+	}
+	own := s.quotas.Demand()
+	s.reserveMu.Lock()
+	defer s.reserveMu.Unlock()
+	s.reserve.Update(own, demand, silent)
+	s.quotas.Tick(alive, fleet, lenders, sum(demand), s.reserved(own, demand, fleet, large), s.account, p.Workspaces())
+}
+
+// reserved returns the part of a rate that others use which cannot be heard. The
+// other data centres of a large fleet lend their own parts, which follow what
+// each is asked for.
+func (s *Sidecar) reserved(own map[string]float64, demand map[string]map[string]float64, fleet int, large bool) func(workspace string) float64 {
+	return func(workspace string) float64 {
+		if !large {
+			return s.reserve.Part(workspace, fleet)
+		}
+		zones := s.zones()
+		here, there := own[workspace], 0.0
+		for host, by := range demand {
+			if zones[host] {
+				there += by[workspace]
+			} else {
+				here += by[workspace]
+			}
+		}
+		part := 1.0
+		if here+there > 0 {
+			part = here / (here + there)
+		}
+		return 1 - part*(1-s.reserve.Part(workspace, max(fleet/len(zones), 1)))
 	}
-	s.quotas.Tick(alive, fleet, len(unknown), lenders, heard, silent, s.account, p.Workspaces())
 }
 
-// addZones adds the demand of the other data centres, as each told it last.
-func (s *Sidecar) addZones(peers []berylgossip.Peer, silent map[string]float64) {
+func scale(words map[string]uint32) map[string]float64 {
+	out := make(map[string]float64, len(words))
+	for workspace, n := range words {
+		out[workspace] = float64(n) / demandUnit
+	}
+	return out
+}
+
+func sum(demand map[string]map[string]float64) map[string]float64 {
+	out := map[string]float64{}
+	for _, by := range demand {
+		for workspace, d := range by {
+			out[workspace] += d
+		}
+	}
+	return out
+}
+
+// addZones adds the demand of the other data centres under their names, as each
+// told it last.
+func (s *Sidecar) addZones(peers []berylgossip.Peer, demand map[string]map[string]float64) {
 	last := map[string]berylgossip.Peer{}
+	own := s.set.Load().Zone
 	for _, p := range peers {
-		if zone := p.Word.Zone; zone != s.set.Load().Zone && p.Heard.After(last[zone].Heard) {
+		if zone := p.Word.Zone; zone != own && p.Heard.After(last[zone].Heard) {
 			last[zone] = p
 		}
 	}
 	zones := s.zones()
 	pub := s.view.State().Published
 	for zone := range zones {
-		if zone == s.set.Load().Zone {
+		if zone == own {
 			continue
 		}
+		demand[zone] = scale(last[zone].Word.Sums)
 		for _, workspace := range pub.Workspaces() {
-			if n, ok := last[zone].Word.Sums[workspace]; ok {
-				silent[workspace] += float64(n) / demandUnit
-			} else if a := pub.Account(workspace); a != nil {
-				silent[workspace] += a.Rate / float64(len(zones)) * quiet
+			if _, told := demand[zone][workspace]; told {
+				continue
+			}
+			if a := pub.Account(workspace); a != nil {
+				demand[zone][workspace] = a.Rate / float64(len(zones)) * quiet
 			}
 		}
 	}
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"berylspan/core/beryllisted"
 	"berylspan/core/berylnames"
 	"berylspan/core/berylpublished"
+	"berylspan/core/berylreserve"
 	"berylspan/io/berylbeside"
 	"berylspan/io/berylclock"
 	"berylspan/io/berylenter"
@@ -40,10 +41,14 @@
 	mesh   *berylmesh.Mesh
 	beside *berylbeside.Beside
 	quotas *berylquotas.Quotas
-	enter  *berylenter.Enter
-	face   *berylface.Face
-	work   *berylmesh.Server
-	meter  *meter
+
+	reserveMu sync.Mutex
+	reserve   *berylreserve.Reserve
+
+	enter *berylenter.Enter
+	face  *berylface.Face
+	work  *berylmesh.Server
+	meter *meter
 
 	udp     *net.UDPConn
 	puller  *http.Client
@@ -56,7 +61,7 @@
 
 // New returns a sidecar that does nothing before Start.
 func New(set Settings, names berylnames.Names, feed berylview.Feed, log zerolog.Logger) *Sidecar {
-	s := &Sidecar{names: names, log: log, start: time.Now().UnixMilli(), meter: newMeter()}
+	s := &Sidecar{names: names, log: log, start: time.Now().UnixMilli(), meter: newMeter(), reserve: berylreserve.New()}
 	s.set.Store(&set)
 	s.puller = &http.Client{Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: pullDial, Control: berylmesh.Unacked}).DialContext, IdleConnTimeout: pullIdle,
