Let own parts of a rate accrue only while no lender answers

The bursts of all own parts came on top of the lender's. Change: an answer of the lender empties the own part, and it begins empty.

--- a/core/berylquota/quota.go
+++ b/core/berylquota/quota.go
@@ -28,11 +28,9 @@
 	leastCap = 1.0 // tokens that a bucket holds at least
 )
 
-// New returns a quota for an instance in a fleet of n.
+// New returns an empty quota for an instance in a fleet of n.
 func New(now time.Time, rate, burst float64, n int) *Quota {
-	q := &Quota{rate: rate, burst: burst, part: 1 / float64(max(n, 1)), counted: now, filled: now}
-	q.tokens = q.most()
-	return q
+	return &Quota{rate: rate, burst: burst, part: 1 / float64(max(n, 1)), counted: now, filled: now}
 }
 
 // Set changes the rate and burst of the fleet. Tokens above the new burst go.
@@ -93,3 +91,9 @@
 	speed := max(q.rate*q.part, 0.01)
 	return false, time.Duration((1 - q.tokens) / speed * float64(time.Second))
 }
+
+// Empty takes all tokens: others were had from elsewhere meanwhile.
+func (q *Quota) Empty(now time.Time) {
+	q.fill(now)
+	q.tokens = 0
+}
--- a/io/berylquotas/quotas.go
+++ b/io/berylquotas/quotas.go
@@ -193,6 +193,8 @@
 // lent takes in the lender's answer.
 func (q *Quotas) lent(now time.Time, s *stock, n int, wait time.Duration) {
 	s.pending = false
+	// The own part only counts for the time in which no lender answers.
+	s.own.Empty(now)
 	if n > 0 {
 		s.tokens += n
 		s.until = now.Add(stockLife)
