Notice a caller that leaves during the last request of its connection

Change: the connection is read on until the answer is written. Figures: face tests pass with the race detector; the new test hung without the change.

--- a/io/berylface/conn.go
+++ b/io/berylface/conn.go
@@ -117,7 +117,11 @@
 		next, ok := c.read(ctx, lim, turn)
 		turn = next
 		if !ok {
-			// An answer that ends the connection is still to be written.
+			// An answer that ends the connection is still to be written; until
+			// then the caller may leave.
+			if _, err := c.br.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !c.over() {
+				cancel()
+			}
 			<-turn
 			break
 		}
--- a/io/berylface/face_test.go
+++ b/io/berylface/face_test.go
@@ -97,6 +97,15 @@
 }
 
 func TestLeavingCallerEndsTheRequest(t *testing.T) {
+	leave(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+}
+
+func TestLeavingCallerEndsItsLastRequest(t *testing.T) {
+	leave(t, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+}
+
+func leave(t *testing.T, request string) {
+	t.Helper()
 	ended := make(chan struct{})
 	_, dial := serve(t, func(ctx context.Context, _ *Request) *Answer {
 		<-ctx.Done()
@@ -104,7 +113,7 @@
 		return &Answer{Abort: true}
 	})
 	c := dial()
-	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, err := io.WriteString(c, request)
 	require.NoError(t, err)
 	time.Sleep(50 * time.Millisecond)
 	require.NoError(t, c.Close())
