Keep one copy of the answer's tail, the silence bound and an entry's host

Cause: a reading of the whole change. The rest of a long answer was read by the same type in the mesh and the pool, 1.3 s of silence was defined twice, the host of a list entry was split out in five places, the look at peers stood twice, two parameters were not used; the test of a caller that leaves hung for ten minutes when it failed. Change: beryltail, SilentAfter, Listed.Host, look; the test's handler ends after 5 s. No behaviour, bound or assertion changed.

--- a/io/berylbeside/beside.go
+++ b/io/berylbeside/beside.go
@@ -232,7 +232,6 @@
 	set(h, b.names.Caller, w.Caller)
 	set(h, b.names.Workspace, w.Workspace)
 	set(h, b.names.Instance, w.Instance)
-	var out *berylreply.Reply
 	free := func() {
 		now := time.Now()
 		b.mu.Lock()
@@ -240,7 +239,7 @@
 		b.mu.Unlock()
 		b.done(ask, now.Sub(began), ctx.Err() == nil)
 	}
-	out = pool.Send(ctx, &berylpool.Request{
+	out := pool.Send(ctx, &berylpool.Request{
 		Method: w.Method, URI: w.URI, Host: w.Host, ID: w.ID, Header: h,
 		Body: w.Body, Stream: w.Stream, Length: w.Length, Once: !w.Repeatable,
 	}, free)
--- a/io/berylenter/answer.go
+++ b/io/berylenter/answer.go
@@ -36,7 +36,7 @@
 
 // answer passes on a backend server's answer; then is called when its body has
 // been written.
-func (e *Enter) answer(_ *request, out *berylreply.Reply, then context.CancelFunc) *berylface.Answer {
+func (e *Enter) answer(out *berylreply.Reply, then context.CancelFunc) *berylface.Answer {
 	a := &berylface.Answer{Status: out.Status, Header: out.Header, Body: out.Body, Length: out.Length}
 	delete(a.Header, "Content-Length")
 	if out.Stream == nil {
@@ -65,6 +65,10 @@
 	return &berylface.Answer{Status: status, Header: h}
 }
 
+// callerLeft stands in logs and metrics for a request without an answer; it is
+// never sent.
+const callerLeft = 499
+
 // record logs and counts the end of a request.
 func (e *Enter) record(q *request, a *berylface.Answer) {
 	took := time.Since(q.At)
@@ -77,7 +81,7 @@
 	}
 	status := a.Status
 	if a.Abort {
-		status = 499
+		status = callerLeft
 	}
 	e.Observe(workspace, rule, status, q.reason, took)
 	s := e.State()
--- a/io/berylenter/enter.go
+++ b/io/berylenter/enter.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
@@ -62,9 +61,11 @@
 // other all the time.
 const SmallFleet = 24
 
+// SilentAfter is how long an instance may not be heard: three words.
+const SilentAfter = 1300 * time.Millisecond
+
 const (
-	silentAfter = 1300 * time.Millisecond // three words that did not come
-	farCost     = 0.06                    // seconds; stands for the bytes and delay of another data centre
+	farCost = 0.06 // seconds; stands for the bytes and delay of another data centre
 )
 
 // New completes an enter whose exported fields are set.
@@ -97,18 +98,16 @@
 	e.peers = make(map[string]berylgossip.Peer, len(peers))
 	for _, p := range peers {
 		e.peers[p.Host] = p
-		if p.Word.Server != "" && now.Sub(p.Heard) < silentAfter {
+		if p.Word.Server != "" && now.Sub(p.Heard) < SilentAfter {
 			e.standing.Told(p.Heard, p.Word.Server, "", p.Word.Busy, p.Word.Limit, 0)
 		}
 	}
 	hosts := map[string]bool{e.Host: true}
-	for addr := range s.Hosts {
-		if host, _, err := net.SplitHostPort(addr); err == nil {
-			hosts[host] = true
-		}
+	for _, l := range s.Hosts {
+		hosts[l.Host()] = true
 	}
 	for _, p := range peers {
-		if now.Sub(p.Heard) < silentAfter {
+		if now.Sub(p.Heard) < SilentAfter {
 			hosts[p.Host] = true
 		}
 	}
@@ -124,7 +123,7 @@
 // silent tells whether an instance should have been heard. In a large fleet only
 // those of the own data centre speak all the time.
 func (e *Enter) silent(now time.Time, p berylgossip.Peer) bool {
-	return now.Sub(p.Heard) > silentAfter && (e.fleet <= SmallFleet || p.Word.Zone == e.Zone)
+	return now.Sub(p.Heard) > SilentAfter && (e.fleet <= SmallFleet || p.Word.Zone == e.Zone)
 }
 
 // Fleet returns the number of all instances.
--- a/io/berylenter/run.go
+++ b/io/berylenter/run.go
@@ -53,7 +53,7 @@
 		out := e.attempt(ctx, q, to)
 		q.reason = out.Reason
 		if out.End == berylend.Answered && !e.better(ctx, q, t, out) {
-			return e.answer(q, out, cancel)
+			return e.answer(out, cancel)
 		}
 		if !e.goOn(ctx, q, t, out) {
 			break
@@ -129,7 +129,7 @@
 		c.Far = l.Zone != e.Zone
 		c.Cold = l.Warm > 0
 		c.Tried = t.tried[l.ID] || l.Leaving
-		host, _, _ := net.SplitHostPort(l.Addr) // Entries without an address are not listed.
+		host := l.Host()
 		if p, ok := e.peers[host]; ok && host != e.Host {
 			c.Tried = c.Tried || p.Word.Leaving
 			c.Distrust = c.Distrust || e.silent(now, p)
@@ -145,7 +145,7 @@
 
 // attempt sends the work to one instance.
 func (e *Enter) attempt(ctx context.Context, q *request, to beryllisted.Listed) *berylreply.Reply {
-	host, _, _ := net.SplitHostPort(to.Addr) // Entries without an address are not listed.
+	host := to.Host()
 	now := time.Now()
 	e.mu.Lock()
 	e.standing.Sent(now, to.ID)
@@ -212,7 +212,7 @@
 		q.reason = berylreply.Canceled
 		return &berylface.Answer{Abort: true}
 	case t.answered != nil:
-		return e.answer(q, t.answered, func() {})
+		return e.answer(t.answered, func() {})
 	case t.maybeRan && ctx.Err() != nil:
 		return e.refuse(q, http.StatusGatewayTimeout, q.reason, 0)
 	case t.maybeRan:
--- a/io/berylface/face_test.go
+++ b/io/berylface/face_test.go
@@ -108,8 +108,11 @@
 	t.Helper()
 	ended := make(chan struct{})
 	_, dial := serve(t, func(ctx context.Context, _ *Request) *Answer {
-		<-ctx.Done()
-		close(ended)
+		select {
+		case <-ctx.Done():
+			close(ended)
+		case <-time.After(5 * time.Second): // So that a failure does not hang.
+		}
 		return &Answer{Abort: true}
 	})
 	c := dial()
--- a/io/berylmesh/mesh.go
+++ b/io/berylmesh/mesh.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -16,6 +15,7 @@
 	"berylspan/core/berylnames"
 	"berylspan/io/berylprobe"
 	"berylspan/io/berylreply"
+	"berylspan/io/beryltail"
 	"berylspan/io/berylwork"
 
 	"golang.org/x/sys/unix"
@@ -163,13 +163,13 @@
 		return berylreply.Fail(berylend.Unknown, broken(ctx))
 	}
 	if out.Stream != nil {
-		out.Stream = &tail{Reader: out.Stream, end: func(whole bool) {
+		out.Stream = beryltail.New(out.Stream, func(whole bool) {
 			if stop() && whole {
 				m.put(addr, l)
 				return
 			}
 			l.close()
-		}}
+		})
 		return out
 	}
 	if stop() {
@@ -184,28 +184,3 @@
 	}
 	return berylreply.Broken
 }
-
-// tail is the rest of a long answer.
-type tail struct {
-	io.Reader
-	end    func(whole bool)
-	whole  bool
-	closed bool
-}
-
-// Read passes on the answer and notes its end.
-func (t *tail) Read(p []byte) (int, error) {
-	n, err := t.Reader.Read(p)
-	t.whole = t.whole || errors.Is(err, io.EOF)
-	return n, err
-}
-
-// Close gives the lane back, or closes it when the answer was not read to its
-// end.
-func (t *tail) Close() error {
-	if !t.closed {
-		t.closed = true
-		t.end(t.whole)
-	}
-	return nil
-}
--- a/io/berylpool/send.go
+++ b/io/berylpool/send.go
@@ -12,6 +12,7 @@
 	"berylspan/core/berylend"
 	"berylspan/core/berylhop"
 	"berylspan/io/berylreply"
+	"berylspan/io/beryltail"
 )
 
 // Request is what is sent. Header must hold no fields that concern one
@@ -239,7 +240,11 @@
 		x.end()
 		return out
 	}
-	out.Stream = &tail{Reader: resp.Body, exchange: x}
+	// An answer that is not read to its end takes the connection with it.
+	out.Stream = beryltail.New(resp.Body, func(whole bool) {
+		x.reuse = x.reuse && whole
+		x.end()
+	})
 	return out
 }
 
@@ -253,30 +258,3 @@
 		}
 	}
 }
-
-// tail is the rest of a long answer.
-type tail struct {
-	io.Reader
-	exchange *exchange
-	whole    bool
-	closed   bool
-}
-
-// Read passes on the answer and notes its end.
-func (t *tail) Read(p []byte) (int, error) {
-	n, err := t.Reader.Read(p)
-	t.whole = t.whole || errors.Is(err, io.EOF)
-	return n, err
-}
-
-// Close ends the exchange; an answer that was not read to its end takes the
-// connection with it.
-func (t *tail) Close() error {
-	if t.closed {
-		return nil
-	}
-	t.closed = true
-	t.exchange.reuse = t.exchange.reuse && t.whole
-	t.exchange.end()
-	return nil
-}
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -20,9 +20,8 @@
 
 const (
 	beatEvery   = 400 * time.Millisecond // between two words; three that do not come mean silence
-	aliveWithin = 1300 * time.Millisecond
-	forgetAfter = 10 * time.Second // an unlisted instance that fell silent is told nothing more
-	zoneApart   = 2                // places that the instances of a data centre come after those of the one before
+	forgetAfter = 10 * time.Second       // an unlisted instance that fell silent is told nothing more
+	zoneApart   = 2                      // places that the instances of a data centre come after those of the one before
 	statePath   = "/state"
 	mostState   = 8 << 20 // bytes
 )
@@ -45,9 +44,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			peers := s.gossip.Peers()
-			s.enter.Tick(peers)
-			s.tickQuotas(peers)
+			s.look()
 			s.mesh.Tidy()
 			s.say(false)
 		}
@@ -57,6 +54,11 @@
 // changed tells others at once that something new is known here.
 func (s *Sidecar) changed() {
 	s.say(false)
+	s.look()
+}
+
+// look passes on what was heard of other instances.
+func (s *Sidecar) look() {
 	peers := s.gossip.Peers()
 	s.enter.Tick(peers)
 	s.tickQuotas(peers)
@@ -104,10 +106,8 @@
 			zones[zone] = append(zones[zone], host)
 		}
 	}
-	for addr, l := range s.view.State().Hosts {
-		if host, _, err := net.SplitHostPort(addr); err == nil {
-			add(host, l.Zone)
-		}
+	for _, l := range s.view.State().Hosts {
+		add(l.Host(), l.Zone)
 	}
 	for _, p := range s.gossip.Peers() {
 		if time.Since(p.Heard) < forgetAfter {
@@ -143,7 +143,7 @@
 	before := map[string]bool{}
 	n := 0
 	for _, p := range s.gossip.Peers() {
-		if time.Since(p.Heard) > aliveWithin || p.Word.Leaving {
+		if time.Since(p.Heard) > berylenter.SilentAfter || p.Word.Leaving {
 			continue
 		}
 		if large && p.Word.Zone != set.Zone {
@@ -189,7 +189,7 @@
 }
 
 // pull fetches what the instance at addr knows.
-func (s *Sidecar) pull(ctx context.Context, addr string, version, _ int64) (*berylview.Snapshot, error) {
+func (s *Sidecar) pull(ctx context.Context, addr string, version int64) (*berylview.Snapshot, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+statePath+"?version="+strconv.FormatInt(version, 10), nil)
 	if err != nil {
 		return nil, eris.Wrap(err, "pull")
--- a/io/berylsidecar/quotas.go
+++ b/io/berylsidecar/quotas.go
@@ -1,7 +1,6 @@
 package berylsidecar
 
 import (
-	"net"
 	"time"
 
 	"berylspan/core/berylaccount"
@@ -56,7 +55,7 @@
 	out := s.demand()
 	zone := s.set.Load().Zone
 	for _, p := range s.gossip.Peers() {
-		if p.Word.Zone == zone && time.Since(p.Heard) < aliveWithin {
+		if p.Word.Zone == zone && time.Since(p.Heard) < berylenter.SilentAfter {
 			for workspace, n := range p.Word.Demand {
 				out[workspace] += n
 			}
@@ -95,9 +94,9 @@
 	demand := map[string]map[string]float64{}
 	silent := map[string]bool{}
 	listed := map[string]bool{}
-	for addr, l := range s.view.State().Hosts {
-		host, _, err := net.SplitHostPort(addr)
-		if err != nil || host == set.Host {
+	for _, l := range s.view.State().Hosts {
+		host := l.Host()
+		if host == set.Host {
 			continue
 		}
 		listed[host] = true
@@ -112,7 +111,7 @@
 			continue
 		}
 		demand[peer.Host] = scale(peer.Word.Demand)
-		if silent[peer.Host] = age >= aliveWithin; silent[peer.Host] {
+		if silent[peer.Host] = age >= berylenter.SilentAfter; silent[peer.Host] {
 			continue
 		}
 		delete(silent, peer.Host)
--- a/io/berylview/peers.go
+++ b/io/berylview/peers.go
@@ -73,7 +73,7 @@
 	go func() { // Ends within pullTimeout.
 		pctx, cancel := context.WithTimeout(ctx, pullTimeout)
 		defer cancel()
-		snap, err := v.pull(pctx, addr, version, s.Change)
+		snap, err := v.pull(pctx, addr, version)
 		// Only fails when the view has ended.
 		_ = v.loop.Post(ctx, func() { v.pulled(addr, snap, err) })
 	}()
--- a/io/berylview/view.go
+++ b/io/berylview/view.go
@@ -22,7 +22,7 @@
 // View is safe for concurrent use; one goroutine owns its changes.
 type View struct {
 	feed    Feed
-	pull    func(ctx context.Context, addr string, version, change int64) (*Snapshot, error)
+	pull    func(ctx context.Context, addr string, version int64) (*Snapshot, error)
 	place   func() int
 	changed func()
 	log     zerolog.Logger
@@ -71,7 +71,7 @@
 )
 
 // Pull sets how knowledge is fetched from another instance.
-func Pull(f func(ctx context.Context, addr string, version, change int64) (*Snapshot, error)) func(*View) {
+func Pull(f func(ctx context.Context, addr string, version int64) (*Snapshot, error)) func(*View) {
 	return func(v *View) { v.pull = f }
 }
 
--- a/io/berylview/view_test.go
+++ b/io/berylview/view_test.go
@@ -126,7 +126,7 @@
 	clock := func() time.Time { mu.Lock(); defer mu.Unlock(); return now }
 	advance := func(d time.Duration) { mu.Lock(); now = now.Add(d); mu.Unlock() }
 	f := &feed{all: first, next: func() (*Batch, error) { return nil, errors.New("down") }}
-	v := start(t, f, Clock(clock), Pull(func(context.Context, string, int64, int64) (*Snapshot, error) {
+	v := start(t, f, Clock(clock), Pull(func(context.Context, string, int64) (*Snapshot, error) {
 		return &Snapshot{Version: 3, Change: 60, Revision: 60, Listed: []beryllisted.Listed{server("1"), server("2")}}, nil
 	}))
 	eventually(t, func() bool { advance(time.Millisecond); return known(v) })
@@ -181,7 +181,7 @@
 func TestWhatAnotherInstanceReadIsTakenFromIt(t *testing.T) {
 	f := &feed{all: first, next: nothing}
 	pulls := 0
-	v := start(t, f, Place(func() int { return 1 }), Pull(func(context.Context, string, int64, int64) (*Snapshot, error) {
+	v := start(t, f, Place(func() int { return 1 }), Pull(func(context.Context, string, int64) (*Snapshot, error) {
 		pulls++
 		return &Snapshot{Version: 9, Raw: []byte("y"), Change: 50, Revision: 50, Listed: []beryllisted.Listed{server("7")}}, nil
 	}))
