Let a read of the store that a peer has overtaken take nothing away

The logs show two causes. In the fixture: instance 0 was started, and read the store, before the servers of the service were listed, and the test asked within 8 ms. In the product: a whole read that had begun earlier arrived after a peer's newer knowledge and withdrew the servers that were listed in between.

Change: a read whose revision is below what is known adds a configuration at most; lists stay. The stand-in of TestEverythingIsReadAnewFromTimeToTime let the store's revision fall, which a store never does; it now returns the revision that was seen.

Before: the new test in io/berylview fails (server 2 withdrawn).

--- a/io/berylview/view.go
+++ b/io/berylview/view.go
@@ -168,6 +168,10 @@
 		v.log.Info().Int64("revision", b.Revision).Msg("store regained")
 	}
 	v.failed, v.lost = false, v.lost && !b.Whole
+	if b.Revision < v.State().Revision {
+		v.log.Info().Int64("revision", b.Revision).Int64("known", v.State().Revision).Msg("read overtaken by a peer")
+		b = &Batch{Published: b.Published, Raw: b.Raw, Findings: b.Findings}
+	}
 	if b.Whole {
 		v.whole = now
 	}
--- a/io/berylview/view_test.go
+++ b/io/berylview/view_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -158,6 +159,7 @@
 	f.mu.Lock()
 	f.all = func() (*Batch, error) {
 		b, err := first()
+		b.Revision = 6 // The revision of a store never falls.
 		b.Set = append(b.Set, server("3"))
 		return b, err
 	}
@@ -211,3 +213,23 @@
 	defer f.mu.Unlock()
 	require.Equal(t, before, f.n)
 }
+
+func TestAReadThatAPeerHasOvertakenTakesNothingAway(t *testing.T) {
+	answer := make(chan struct{})
+	f := &feed{next: nothing, all: func() (*Batch, error) {
+		<-answer
+		return &Batch{Revision: 5, Whole: true, Published: version(3), Set: []beryllisted.Listed{server("1")}}, nil
+	}}
+	var pulled atomic.Bool
+	v := start(t, f, Pull(func(context.Context, string, int64) (*Snapshot, error) {
+		pulled.Store(true)
+		return &Snapshot{Version: 9, Raw: []byte("x"), Change: 8, Revision: 8, Listed: []beryllisted.Listed{server("1"), server("2")}}, nil
+	}))
+	v.Hear(context.Background(), "peer", 9, 8, 8, 0)
+	eventually(t, func() bool { return known(v) })
+	close(answer)
+	eventually(t, func() bool { return v.Calls() > 1 })
+	require.True(t, pulled.Load())
+	require.Contains(t, v.State().Listed, "2")
+	require.Equal(t, int64(9), v.State().Published.Version)
+}
