--- a/core/berylmodel/instance.go
+++ b/core/berylmodel/instance.go
@@ -148,11 +148,16 @@
 		}
 		return left[in.m.rng.IntN(len(left))]
 	}
+	bound := false
 	cs := make([]berylplace.Candidate, len(all))
 	for i, o := range all {
 		cs[i] = in.standing.Candidate(in.m.now, o.id, q.rule.Name, o.slots)
 		cs[i].Far = o.zone != in.zone
-		cs[i].Tried = tried[o] || (cs[i].Bound && q.root == q)
+		cs[i].Tried = tried[o]
+		bound = bound || (cs[i].Bound && q.root == q)
+	}
+	if bound {
+		berylplace.Withhold(cs)
 	}
 	i, _ := berylplace.Choose(cs, berylplace.Costs{Far: farCost}, in.m.rng.Float64)
 	if i < 0 {
--- a/core/berylplace/place.go
+++ b/core/berylplace/place.go
@@ -10,8 +10,7 @@
 // that run or wait there, in requests; Limit how many run at once; Hold is how
 // long one takes, in seconds, 0 when unknown. Far instances are in another data
 // centre. Distrust says that recent requests to it failed,
-// Bound that it just refused new work of the rule; whoever chooses for new work
-// takes it as tried.
+// Bound that it just held back new work of the rule.
 type Candidate struct {
 	Busy     float64
 	Limit    float64
@@ -56,6 +55,17 @@
 	return best, expect
 }
 
+// Withhold takes as tried those that hold back new work, and those of other data
+// centres: what is overloaded lies behind all of them alike, so a request would
+// only travel further to be refused.
+func Withhold(cs []Candidate) {
+	for i := range cs {
+		if cs[i].Bound || cs[i].Far {
+			cs[i].Tried = true
+		}
+	}
+}
+
 func meanHold(cs []Candidate) float64 {
 	sum, n := 0.0, 0
 	for _, c := range cs {
--- a/io/berylenter/run.go
+++ b/io/berylenter/run.go
@@ -127,14 +127,13 @@
 	cs := make([]berylplace.Candidate, len(list))
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	bound := false
 	for i, l := range list {
 		c := e.standing.Candidate(now, l.ID, q.rule.Name, l.Slots)
 		c.Far = l.Zone != e.Zone
 		c.Cold = l.Warm > 0
 		c.Tried = t.tried[l.ID] || l.Leaving
-		if c.Bound && !q.work.Call && !c.Tried {
-			c.Tried, t.full = true, true
-		}
+		bound = bound || (c.Bound && !q.work.Call)
 		host := l.Host()
 		if p, ok := e.peers[host]; ok && host != e.Host {
 			c.Tried = c.Tried || p.Word.Leaving
@@ -142,6 +141,10 @@
 		}
 		cs[i] = c
 	}
+	if bound {
+		t.full = true
+		berylplace.Withhold(cs)
+	}
 	i, _ := berylplace.Choose(cs, berylplace.Costs{Far: farCost}, random)
 	if i < 0 {
 		return beryllisted.Listed{}, false
