Run no more on a backend server than it accepts connections

Cause: the most connections of a service were decoded but bounded nothing; a server whose entry says 20 slots and whose service allows 4 connections got 15 requests.

Change: the line beside a server follows the lesser of slots and connections.

--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -92,9 +92,17 @@
 	return s
 }
 
-// own returns the list's entry of the backend server beside.
+// own returns the list's entry of the backend server beside. Each request takes a
+// connection, so it runs no more at once than it accepts connections.
 func (s *Sidecar) own() (beryllisted.Listed, bool) {
-	l, ok := s.view.State().Hosts[s.set.Load().Backend]
+	st := s.view.State()
+	l, ok := st.Hosts[s.set.Load().Backend]
+	if st.Published == nil {
+		return l, ok
+	}
+	if conns := st.Published.Conns[l.Service]; conns > 0 {
+		l.Slots = min(l.Slots, conns)
+	}
 	return l, ok
 }
 
