Bind also where calls run slowly; try servers that were not used for long

Change: three tenths may end late or fail while calls take most of the time (one tenth while they wait). An instance of the own data centre that nothing was sent to for 3 s is tried once.

--- a/core/berylinflight/inflight.go
+++ b/core/berylinflight/inflight.go
@@ -20,6 +20,7 @@
 type Inflight struct {
 	rules  map[string]*rule
 	waited float64 // seconds that calls waited, moving sum
+	called float64 // seconds that calls took, moving sum
 	ran    float64 // seconds of running, moving sum
 	at     time.Time
 	run    int
@@ -44,7 +45,7 @@
 	enough    = 5                      // requests that end between two looks at least
 	tolerable = 0.1                    // part of the least important requests that may be late or fail before fewer run
 	important = 3.0                    // factor on that a step of importance: less important requests give way first
-	most      = 0.8                    // part that is never tolerable
+	most      = 0.8                    // part that is never tolerable while what is called may be to blame
 	use       = 0.8                    // part of the time that requests have which they may take
 	fall      = 0.9                    // factor of the bound at a look, at most
 	deepest   = 0.25                   // as above, at least
@@ -56,6 +57,8 @@
 	ample     = 3.0                    // bound over running requests from which there is none
 	smooth    = 0.1                    // weight of the newest request in a moving mean
 	shared    = 0.1                    // part of the running time that calls wait, from which what is called is to blame
+	mostly    = 0.5                    // as above, that calls take, from which what is called may be to blame
+	doubt     = 3.0                    // factor on what is tolerable in that case
 	memory    = 1.0                    // seconds, of that part
 )
 
@@ -81,9 +84,23 @@
 	f.at = now
 	keep := 1 / (1 + dt/memory)
 	f.waited *= keep
+	f.called *= keep
 	f.ran = (f.ran + float64(f.run)*dt) * keep
 }
 
+// tolerance returns the part of requests that may be late or fail. Where calls wait
+// in line, what is called is to blame; where they only take most of the time, it may
+// be; a server that is slow or fails by itself gains nothing from a bound.
+func (f *Inflight) tolerance() float64 {
+	switch {
+	case f.waited > shared*f.ran:
+		return tolerable
+	case f.called > mostly*f.ran:
+		return tolerable * doubt
+	}
+	return 1
+}
+
 // May tells whether a request of the rule may begin.
 func (f *Inflight) May(name string) bool {
 	r := f.rules[name]
@@ -125,18 +142,22 @@
 	if r.ended < enough || dt < window {
 		return
 	}
-	r.look(dt.Seconds(), f.waited > shared*f.ran)
+	r.look(dt.Seconds(), f.tolerance())
 	r.begin, r.area, r.ended, r.bad, r.full = now, 0, 0, 0, false
 }
 
-// Waited records how long a call waited in line, or was tried in vain.
-func (f *Inflight) Waited(d time.Duration) { f.waited += d.Seconds() }
+// Called records how long a call took that a request made, and how much of that it
+// waited in line or was tried in vain.
+func (f *Inflight) Called(took, waited time.Duration) {
+	f.called += took.Seconds()
+	f.waited += waited.Seconds()
+}
 
 // look sets the bound anew after dt seconds.
-func (r *rule) look(dt float64, waits bool) {
+func (r *rule) look(dt, tolerance float64) {
 	mean := r.area / dt
 	switch {
-	case float64(r.bad) > min(tolerable*math.Pow(important, float64(r.step)), most)*float64(r.ended) && waits:
+	case float64(r.bad) > r.tolerated(tolerance)*float64(r.ended):
 		if r.limit == 0 || r.limit > mean {
 			r.limit = mean
 		}
@@ -157,6 +178,14 @@
 	}
 }
 
+// tolerated returns the part of the rule's requests that may be late or fail.
+func (r *rule) tolerated(tolerance float64) float64 {
+	if tolerance >= 1 {
+		return 1
+	}
+	return min(tolerance*math.Pow(important, float64(r.step)), most)
+}
+
 // Limit returns the bound of a rule, 0 without.
 func (f *Inflight) Limit(name string) float64 {
 	if r := f.rules[name]; r != nil {
--- a/core/berylinflight/inflight_test.go
+++ b/core/berylinflight/inflight_test.go
@@ -44,7 +44,7 @@
 		}
 		n := float64(len(c.runs))
 		speed := min(1, room/max(n, 1))
-		c.f.Waited(time.Duration((1 - speed) * n * float64(tick)))
+		c.f.Called(time.Duration(n*float64(tick)), time.Duration((1-speed)*n*float64(tick)))
 		rest := c.runs[:0]
 		for _, r := range c.runs {
 			r.left -= speed * tick.Seconds()
@@ -135,7 +135,7 @@
 	for range 2000 {
 		now = now.Add(10 * time.Millisecond)
 		f.Begin(now, "plain", 0, aim)
-		f.Waited(time.Second)
+		f.Called(time.Second, time.Second)
 		now = now.Add(10 * time.Millisecond)
 		f.End(now, "plain", false)
 		require.True(t, f.May("plain"))
--- a/core/berylmodel/server.go
+++ b/core/berylmodel/server.go
@@ -131,7 +131,7 @@
 			if out != done {
 				c.waited = m.now.Sub(c.at) + lostWait
 			}
-			in.inflight.Waited(c.waited)
+			in.inflight.Called(m.now.Sub(c.at), c.waited)
 		}
 		then(out)
 	})
--- a/core/berylplace/place.go
+++ b/core/berylplace/place.go
@@ -10,7 +10,8 @@
 // that run or wait there, in requests; Limit how many run at once; Hold is how
 // long one takes, in seconds, 0 when unknown. Far instances are in another data
 // centre. Distrust says that recent requests to it failed,
-// Bound that it just held back new work of the rule.
+// Bound that it just held back new work of the rule, Idle that nothing was sent to
+// it from here for a while.
 type Candidate struct {
 	Busy     float64
 	Limit    float64
@@ -19,6 +20,7 @@
 	Cold     bool
 	Distrust bool
 	Bound    bool
+	Idle     bool
 	Tried    bool
 }
 
@@ -33,6 +35,7 @@
 	crowded     = 0.85 // part of the limit from which a server is taken to slow down
 	crowdCost   = 0.3  // factor on the time of a server that runs at its limit, less one
 	evenCost    = 0.15 // as above, in proportion to its use, so that servers are used alike
+	idleFactor  = 0.3  // on the time of an instance that has not been used for a while, so that what is known of it gets renewed
 	distrustful = 30   // seconds added to an instance that failed lately
 )
 
@@ -99,6 +102,8 @@
 	}
 	if c.Far {
 		t += costs.Far
+	} else if c.Idle && use <= 1 {
+		t *= idleFactor
 	}
 	if c.Distrust {
 		t += distrustful
--- a/core/berylplace/withhold_test.go
+++ b/core/berylplace/withhold_test.go
@@ -17,3 +17,17 @@
 	i, _ = Choose(cs, Costs{}, func() float64 { return 0 })
 	require.Equal(t, -1, i)
 }
+
+// A slow server joins on a calm day: fast ones are never full, so nothing would
+// ever show what it can do.
+func TestAServerThatWasNotUsedForLongIsTriedOnce(t *testing.T) {
+	cs := []Candidate{{Limit: 20, Hold: 0.02}, {Limit: 20, Hold: 0.05, Idle: true}}
+	i, _ := Choose(cs, Costs{}, func() float64 { return 0 })
+	require.Equal(t, 1, i)
+	cs[1].Idle = false
+	i, _ = Choose(cs, Costs{}, func() float64 { return 0 })
+	require.Equal(t, 0, i)
+	cs[1].Idle, cs[1].Far = true, true
+	i, _ = Choose(cs, Costs{Far: 0.06}, func() float64 { return 0 })
+	require.Equal(t, 0, i, "not in another data centre")
+}
--- a/core/berylstanding/standing.go
+++ b/core/berylstanding/standing.go
@@ -28,6 +28,7 @@
 	bad     time.Time
 	strikes int
 	used    time.Time
+	sent    time.Time
 }
 
 const (
@@ -35,6 +36,7 @@
 	avoidMost  = 6 * time.Second
 	believe    = 2 * time.Second // what an instance told of its load
 	holdSmooth = 0.3
+	idleAfter  = 3 * time.Second       // without a send, after which what is known of an instance is old
 	boundFor   = 60 * time.Millisecond // in which about one of the requests ends that hold a bound
 	forget     = 2 * time.Minute
 )
@@ -53,7 +55,11 @@
 }
 
 // Sent records that a request was sent.
-func (s *Standing) Sent(now time.Time, id string) { s.get(now, id).out++ }
+func (s *Standing) Sent(now time.Time, id string) {
+	k := s.get(now, id)
+	k.out++
+	k.sent = now
+}
 
 // Ended records that one has ended.
 func (s *Standing) Ended(now time.Time, id string) { s.get(now, id).out-- }
@@ -98,9 +104,9 @@
 func (s *Standing) Candidate(now time.Time, id, rule string, slots int) berylplace.Candidate {
 	k := s.known[id]
 	if k == nil {
-		return berylplace.Candidate{Limit: float64(slots)}
+		return berylplace.Candidate{Limit: float64(slots), Idle: true}
 	}
-	c := berylplace.Candidate{Limit: float64(slots), Busy: float64(k.out), Hold: k.holds[rule], Distrust: now.Before(k.bad), Bound: now.Before(k.bounds[rule])}
+	c := berylplace.Candidate{Limit: float64(slots), Busy: float64(k.out), Hold: k.holds[rule], Distrust: now.Before(k.bad), Bound: now.Before(k.bounds[rule]), Idle: k.out == 0 && now.Sub(k.sent) > idleAfter}
 	if now.Sub(k.told) < believe {
 		c.Busy = max(float64(k.out), float64(k.busy+k.out-k.atTold))
 		if k.limit > 0 {
--- a/io/berylbeside/beside.go
+++ b/io/berylbeside/beside.go
@@ -118,11 +118,11 @@
 	b.mu.Unlock()
 }
 
-// Returned records how long a nested call that the backend server made waited
-// in line.
-func (b *Beside) Returned(waited time.Duration) {
+// Returned records how long a nested call took that the backend server made, and
+// how much of that it waited in line.
+func (b *Beside) Returned(took, waited time.Duration) {
 	b.mu.Lock()
-	b.inflight.Waited(waited)
+	b.inflight.Called(took, waited)
 	b.mu.Unlock()
 }
 
--- a/io/berylenter/check.go
+++ b/io/berylenter/check.go
@@ -177,7 +177,7 @@
 		}
 		a = e.run(ctx, q)
 		if q.work.Call {
-			e.Returned(q.waited)
+			e.Returned(time.Since(q.At), q.waited)
 		}
 	}
 	a.Bare = r.Method == http.MethodHead
--- a/io/berylenter/enter.go
+++ b/io/berylenter/enter.go
@@ -24,7 +24,7 @@
 // Enter is safe for concurrent use. Host is the address of this instance and
 // Service that of the backend server beside it. Local runs work on that server,
 // Remote on another instance. Called is told of nested
-// calls and Returned how long they waited in line; CallRank ranks them.
+// calls and Returned how long they took and waited in line; CallRank ranks them.
 type Enter struct {
 	Names    berylnames.Names
 	Host     string
@@ -36,7 +36,7 @@
 	Local    func(ctx context.Context, w *berylwork.Work) *berylreply.Reply
 	Remote   func(ctx context.Context, addr string, w *berylwork.Work) *berylreply.Reply
 	Called   func(rule string)
-	Returned func(waited time.Duration)
+	Returned func(took, waited time.Duration)
 	CallRank func(rule string) int
 	Quotas   *berylquotas.Quotas
 	Log      zerolog.Logger
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -82,7 +82,7 @@
 		Local:    func(ctx context.Context, w *berylwork.Work) *berylreply.Reply { return s.beside.Run(ctx, w) },
 		Remote:   s.mesh.Send,
 		Called:   func(rule string) { s.beside.Called(rule) },
-		Returned: func(waited time.Duration) { s.beside.Returned(waited) },
+		Returned: func(took, waited time.Duration) { s.beside.Returned(took, waited) },
 		CallRank: func(rule string) int { return s.beside.CallRank(rule) },
 		Quotas:   s.quotas,
 		Log:      log,
