--- a/core/berylmodel/client.go
+++ b/core/berylmodel/client.go
@@ -37,7 +37,7 @@
 	per := r.PerSecond / float64(len(m.scene.Zones))
 	var next func()
 	next = func() {
-		at := m.elapsed()
+		at := m.agenda.Now()
 		factor, hot := 1.0, 1.0
 		for _, t := range m.scene.During(berylscene.Burst, at) {
 			factor *= t.X
@@ -48,7 +48,7 @@
 		first := m.scene.Skew * hot
 		all := first + 1 - m.scene.Skew
 		m.after(exp(m.rng, per*factor*all), func() {
-			if m.elapsed() >= m.scene.Length {
+			if m.agenda.Now() >= m.scene.Length {
 				return
 			}
 			space := 0
@@ -64,10 +64,10 @@
 
 func (m *model) arrive(r *berylscene.Rule, zone, space int) {
 	q := &request{
-		rule: r, zone: zone, space: space, at: m.now, aim: m.now.Add(r.Aim), until: m.now.Add(r.Limit), tries: r.Tries,
+		rule: r, zone: zone, space: space, at: m.now(), aim: m.now().Add(r.Aim), until: m.now().Add(r.Limit), tries: r.Tries,
 	}
 	q.root = q
-	for _, t := range m.scene.During(berylscene.Storm, m.elapsed()) {
+	for _, t := range m.scene.During(berylscene.Storm, m.agenda.Now()) {
 		q.tries += int(t.X)
 	}
 	m.offer(q)
@@ -106,7 +106,7 @@
 // centre, or of the next one in which any is left.
 func (m *model) face(q *request) *instance {
 	zone := q.zone
-	for _, t := range m.scene.During(berylscene.Shift, m.elapsed()) {
+	for _, t := range m.scene.During(berylscene.Shift, m.agenda.Now()) {
 		if m.scene.Zones[zone] == t.On {
 			zone = (zone + 1) % len(m.scene.Zones)
 		}
@@ -140,13 +140,13 @@
 	}
 	q.tries--
 	q.back = true
-	if !q.rule.Obeys || len(m.scene.During(berylscene.Storm, m.elapsed())) > 0 {
+	if !q.rule.Obeys || len(m.scene.During(berylscene.Storm, m.agenda.Now())) > 0 {
 		after = 0
 	}
 	if after == 0 {
 		after = berylpause.Least
 	}
-	if m.now.Add(after).After(q.until) {
+	if m.now().Add(after).After(q.until) {
 		m.end(q, refused)
 		return
 	}
--- a/core/berylmodel/instance.go
+++ b/core/berylmodel/instance.go
@@ -4,7 +4,6 @@
 	"strconv"
 	"time"
 
-	"berylspan/core/berylcalls"
 	"berylspan/core/berylinflight"
 	"berylspan/core/berylline"
 	"berylspan/core/berylpause"
@@ -26,7 +25,6 @@
 	standing *berylstanding.Standing
 
 	line     *berylline.Line[*visit]
-	calls    *berylcalls.Calls
 	inflight *berylinflight.Inflight
 	running  int
 	fifo     []*visit // without a line
@@ -73,7 +71,6 @@
 	in.life++
 	in.standing = berylstanding.New()
 	in.line = berylline.New[*visit](in.slots)
-	in.calls = berylcalls.New()
 	in.inflight = berylinflight.New()
 	in.running, in.fifo = 0, nil
 }
@@ -87,15 +84,15 @@
 func (in *instance) attempt(q *request, tried map[*instance]bool, after time.Duration, then func(outcome, time.Duration)) {
 	m := in.m
 	to := in.choose(q, tried)
-	if to == nil || len(tried) >= mostTries || m.now.After(q.until) {
+	if to == nil || len(tried) >= mostTries || m.now().After(q.until) {
 		if after == 0 {
-			after = berylpause.Shed(q.aim.Sub(m.now), q.until.Sub(m.now), m.rng.Float64())
+			after = berylpause.Shed(q.aim.Sub(m.now()), q.until.Sub(m.now()), m.rng.Float64())
 		}
 		then(refused, max(after, berylpause.Least))
 		return
 	}
 	tried[to] = true
-	in.standing.Sent(m.now, to.id)
+	in.standing.Sent(m.now(), to.id)
 	life := in.life
 	m.after(m.delay(in, to), func() {
 		to.arrive(q, func(r reply) {
@@ -118,7 +115,7 @@
 
 // heard takes what an instance told with its reply.
 func (in *instance) heard(q *request, to *instance, r reply) {
-	now := in.m.now
+	now := in.m.now()
 	in.standing.Ended(now, to.id)
 	switch {
 	case r.told:
@@ -151,7 +148,7 @@
 	bound := false
 	cs := make([]berylplace.Candidate, len(all))
 	for i, o := range all {
-		cs[i] = in.standing.Candidate(in.m.now, o.id, q.rule.Name, o.slots)
+		cs[i] = in.standing.Candidate(in.m.now(), o.id, q.rule.Name, o.slots)
 		cs[i].Far = o.zone != in.zone
 		cs[i].Tried = tried[o]
 		bound = bound || (cs[i].Bound && q.root == q)
--- a/core/berylmodel/model.go
+++ b/core/berylmodel/model.go
@@ -7,10 +7,10 @@
 package berylmodel
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
+	"berylspan/core/berylagenda"
 	"berylspan/core/berylscene"
 )
 
@@ -41,34 +41,12 @@
 	second   = time.Second
 )
 
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at.Before(e[j].at) || (e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(v any) {
-	ev, _ := v.(event)
-	*e = append(*e, ev)
-}
-func (e *events) Pop() any { o := *e; v := o[len(o)-1]; *e = o[:len(o)-1]; return v }
-
 // model is one play.
 type model struct {
 	scene     *berylscene.Scene
 	policy    Policy
 	rng       *rand.Rand
-	begin     time.Time
-	now       time.Time
-	queue     events
-	seq       int
+	agenda    berylagenda.Agenda
 	instances []*instance
 	services  map[string][]*instance
 	result    *Result
@@ -76,9 +54,8 @@
 
 // Play plays the scene. The same seed gives the same result.
 func Play(scene berylscene.Scene, policy Policy, seed uint64) *Result {
-	begin := time.Unix(1_000, 0)
 	m := &model{
-		scene: &scene, policy: policy, rng: rand.New(rand.NewPCG(seed, 1)), begin: begin, now: begin,
+		scene: &scene, policy: policy, rng: rand.New(rand.NewPCG(seed, 1)),
 		services: map[string][]*instance{}, result: newResult(&scene, policy.Name),
 	}
 	for _, s := range scene.Services {
@@ -94,24 +71,16 @@
 			}
 		}
 	}
-	end := begin.Add(scene.Length + drain)
-	for len(m.queue) > 0 {
-		e, _ := heap.Pop(&m.queue).(event)
-		if e.at.After(end) {
-			break
-		}
-		m.now = e.at
-		e.do()
-	}
+	m.agenda.Run(scene.Length + drain)
 	return m.result
 }
 
-func (m *model) after(d time.Duration, do func()) {
-	m.seq++
-	heap.Push(&m.queue, event{m.now.Add(d), m.seq, do})
-}
+// begin is an arbitrary time that is not zero, from which decisions count.
+func begin() time.Time { return time.Unix(1_000, 0) }
+
+func (m *model) now() time.Time { return begin().Add(m.agenda.Now()) }
 
-func (m *model) elapsed() time.Duration { return m.now.Sub(m.begin) }
+func (m *model) after(d time.Duration, do func()) { m.agenda.After(d, do) }
 
 // trouble plans what happens to instances.
 func (m *model) trouble() {
--- a/core/berylmodel/result.go
+++ b/core/berylmodel/result.go
@@ -72,7 +72,7 @@
 	r := m.result
 	return []*Tally{
 		&r.All, r.Rules[q.rule.Name], r.Zones[m.scene.Zones[q.zone]], r.Spaces[q.space],
-		&r.Seconds[int(q.at.Sub(m.begin)/time.Second)],
+		&r.Seconds[int(q.at.Sub(begin())/time.Second)],
 	}
 }
 
@@ -94,7 +94,7 @@
 			t.Refused++
 		case out == failed:
 			t.Failed++
-		case m.now.After(q.aim):
+		case m.now().After(q.aim):
 			t.Late++
 			t.Earned += q.rule.Late
 		default:
--- a/core/berylmodel/server.go
+++ b/core/berylmodel/server.go
@@ -23,8 +23,8 @@
 		answer(r)
 		return
 	}
-	v := &visit{came: m.now, q: q, life: in.life, ask: berylline.Ask{
-		Rank: -q.root.rule.Step, Call: q.root != q, Kind: q.rule.Name, Left: q.until.Sub(m.now), Aim: q.aim.Sub(m.now),
+	v := &visit{came: m.now(), q: q, life: in.life, ask: berylline.Ask{
+		Rank: -q.root.rule.Step, Call: q.root != q, Kind: q.rule.Name, Left: q.until.Sub(m.now()), Aim: q.aim.Sub(m.now()),
 	}}
 	v.reply = func(r reply) {
 		if v.life == in.life {
@@ -40,7 +40,7 @@
 		in.fifo = append(in.fifo, v)
 		return
 	}
-	switch verdict, wait := in.line.Arrive(m.now, v.ask, v); verdict {
+	switch verdict, wait := in.line.Arrive(m.now(), v.ask, v); verdict {
 	case berylline.Start:
 		in.run(v)
 	case berylline.Refuse:
@@ -59,8 +59,7 @@
 func (in *instance) run(v *visit) {
 	m := in.m
 	in.running++
-	in.calls.Start(m.now, v.q.rule.Name)
-	began := m.now
+	began := m.now()
 	var calls []*berylscene.Rule
 	for _, c := range v.q.rule.Calls {
 		for range c.N {
@@ -69,15 +68,15 @@
 	}
 	root := v.q.root == v.q
 	if root {
-		in.inflight.Begin(m.now, v.q.rule.Name, v.q.rule.Step, v.q.aim.Sub(m.now))
+		in.inflight.Begin(m.now(), v.q.rule.Name, v.q.rule.Step, v.q.aim.Sub(m.now()))
 	}
-	waited := m.now.Sub(v.came)
+	waited := m.now().Sub(v.came)
 	piece := v.q.rule.Work / time.Duration(len(calls)+1)
 	finish := func(out outcome) {
 		if v.life == in.life {
-			in.finish(v, m.now.Sub(began))
+			in.finish(v, m.now().Sub(began))
 			if root {
-				in.inflight.End(m.now, v.q.rule.Name, out != done || m.now.After(v.q.aim))
+				in.inflight.End(m.now(), v.q.rule.Name, out != done || m.now().After(v.q.aim))
 			}
 		}
 		v.reply(reply{out: out, waited: waited})
@@ -88,7 +87,7 @@
 		v.q.root.spent += d.Seconds()
 		m.after(d, func() {
 			switch {
-			case v.life != in.life, v.q.root.over, m.now.After(v.q.until):
+			case v.life != in.life, v.q.root.over, m.now().After(v.q.until):
 				finish(failed)
 			case n == len(calls):
 				finish(done)
@@ -109,7 +108,7 @@
 // takes returns how long work lasts now.
 func (in *instance) takes(work time.Duration) time.Duration {
 	x := 0.8 + 0.4*in.m.rng.Float64()
-	for _, t := range in.m.scene.During(berylscene.Slow, in.m.elapsed()) {
+	for _, t := range in.m.scene.During(berylscene.Slow, in.m.agenda.Now()) {
 		if t.On == in.service {
 			x *= t.X
 		}
@@ -121,17 +120,16 @@
 func (in *instance) call(v *visit, rule *berylscene.Rule, then func(outcome)) {
 	q := v.q
 	m := in.m
-	in.calls.Call(m.now, rule.Name)
-	c := &request{rule: rule, root: q.root, zone: in.zone, at: m.now, aim: m.now.Add(rule.Aim), until: m.now.Add(rule.Limit)}
+	c := &request{rule: rule, root: q.root, zone: in.zone, at: m.now(), aim: m.now().Add(rule.Aim), until: m.now().Add(rule.Limit)}
 	if c.until.After(q.until) {
 		c.until = q.until
 	}
 	in.attempt(c, map[*instance]bool{}, 0, func(out outcome, _ time.Duration) {
 		if v.life == in.life {
 			if out != done {
-				c.waited = m.now.Sub(c.at) + lostWait
+				c.waited = m.now().Sub(c.at) + lostWait
 			}
-			in.inflight.Called(m.now.Sub(c.at), c.waited)
+			in.inflight.Called(m.now().Sub(c.at), c.waited)
 		}
 		then(out)
 	})
@@ -141,7 +139,6 @@
 func (in *instance) finish(v *visit, took time.Duration) {
 	m := in.m
 	in.running--
-	in.calls.End(m.now, v.q.rule.Name)
 	if !m.policy.Line {
 		if len(in.fifo) > 0 {
 			next := in.fifo[0]
@@ -152,7 +149,7 @@
 	}
 	in.line.Done(v.ask, took, true)
 	for {
-		next, expired, ok := in.line.Next(m.now)
+		next, expired, ok := in.line.Next(m.now())
 		switch {
 		case !ok:
 			return
--- a/core/berylshards/fleet_test.go
+++ b/core/berylshards/fleet_test.go
@@ -1,7 +1,6 @@
 package berylshards_test
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -12,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"berylspan/core/berylagenda"
 	"berylspan/core/berylask"
 	"berylspan/core/berylbatch"
 	"berylspan/core/berylclass"
@@ -34,27 +34,6 @@
 	runFor    = 15 * time.Second
 )
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(v any)   { *e = append(*e, v.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	v := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return v
-}
-
 // schedule is what rapid draws.
 type schedule struct {
 	seed     uint64
@@ -72,14 +51,12 @@
 
 type fleet struct {
 	schedule
-	term  berylterm.Term
-	rnd   *rand.Rand
-	now   time.Duration
-	seq   int
-	queue events
-	nodes []*node
-	names []string
-	cut   map[string]bool
+	term   berylterm.Term
+	rnd    *rand.Rand
+	agenda berylagenda.Agenda
+	nodes  []*node
+	names  []string
+	cut    map[string]bool
 
 	level    float64 // reference bucket
 	levelAt  time.Duration
@@ -123,24 +100,14 @@
 	return f
 }
 
-func (f *fleet) after(d time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.queue, event{at: f.now + d, seq: f.seq, do: do})
-}
+func (f *fleet) after(d time.Duration, do func()) { f.agenda.After(d, do) }
 
 func (f *fleet) jitter(d time.Duration) time.Duration { return time.Duration(f.rnd.Int64N(int64(d))) }
 
 func (f *fleet) run() {
 	f.plan()
 	f.call()
-	for len(f.queue) > 0 {
-		e, _ := heap.Pop(&f.queue).(event)
-		if e.at > runFor {
-			return
-		}
-		f.now = e.at
-		e.do()
-	}
+	f.agenda.Run(runFor)
 }
 
 // plan puts the faults of the schedule at random times.
@@ -155,7 +122,7 @@
 	}
 	for range f.pauses {
 		n := f.nodes[f.rnd.IntN(len(f.nodes))]
-		f.after(f.jitter(runFor), func() { n.paused = f.now + f.jitter(5*time.Second) })
+		f.after(f.jitter(runFor), func() { n.paused = f.agenda.Now() + f.jitter(5*time.Second) })
 	}
 	for range f.cuts {
 		zone := f.names[f.rnd.IntN(len(f.names))]
@@ -195,8 +162,8 @@
 
 // refer counts what the rate would allow and checks what was spent.
 func (f *fleet) refer() {
-	f.level = min(burst, f.level+(f.now-f.levelAt).Seconds()*rate)
-	f.levelAt = f.now
+	f.level = min(burst, f.level+(f.agenda.Now()-f.levelAt).Seconds()*rate)
+	f.levelAt = f.agenda.Now()
 	f.level--
 	f.spent++
 	if f.level < -1e-6 {
@@ -206,7 +173,7 @@
 }
 
 func (n *node) clock() time.Time {
-	return time.Unix(0, 0).Add(n.offset + time.Duration(float64(n.f.now)*n.drift))
+	return time.Unix(0, 0).Add(n.offset + time.Duration(float64(n.f.agenda.Now())*n.drift))
 }
 
 // start is a restart: everything in memory is gone.
@@ -239,8 +206,8 @@
 // do runs a step now, or when the instance wakes up, unless it restarts first.
 func (n *node) do(step func()) {
 	epoch := n.epoch
-	if n.f.now < n.paused {
-		n.f.after(n.paused-n.f.now, func() {
+	if n.f.agenda.Now() < n.paused {
+		n.f.after(n.paused-n.f.agenda.Now(), func() {
 			if n.epoch == epoch {
 				n.do(step)
 			}
--- a/core/berylstanding/standing.go
+++ b/core/berylstanding/standing.go
@@ -36,7 +36,7 @@
 	avoidMost  = 6 * time.Second
 	believe    = 2 * time.Second // what an instance told of its load
 	holdSmooth = 0.3
-	idleAfter  = 10 * time.Second       // without a send, after which what is known of an instance is old
+	idleAfter  = 10 * time.Second      // without a send, after which what is known of an instance is old
 	boundFor   = 60 * time.Millisecond // in which about one of the requests ends that hold a bound
 	forget     = 2 * time.Minute
 )
