--- a/io/berylmesh/mesh_test.go
+++ b/io/berylmesh/mesh_test.go
@@ -36,7 +36,7 @@
 	return &berylwork.Work{
 		ID: id, Method: "POST", URI: "/a%2Fb?c", Host: "h", Header: http.Header{"X-A": {"1", "2"}, "Beryl-Call": {id}},
 		Body: []byte("body"), Length: 4, Rule: "rule", Service: "s", Instance: "i-1", Born: 5, Workspace: "w", Caller: "c",
-		Repeatable: true, Call: true, Rank: 3, Until: now.Add(2 * time.Second), Aim: now.Add(time.Second),
+		Repeatable: true, Call: true, Rank: 3, Step: 2, Until: now.Add(2 * time.Second), Aim: now.Add(time.Second),
 	}
 }
 
