--- a/io/berylbeside/beside.go
+++ b/io/berylbeside/beside.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -111,35 +110,6 @@
 	return running + waiting, limit
 }
 
-// Called records a nested call that the backend server made.
-func (b *Beside) Called(rule string) {
-	b.mu.Lock()
-	b.calls.Call(time.Now(), rule)
-	b.mu.Unlock()
-}
-
-// Returned records how long a nested call took that the backend server made, and
-// how much of that it waited in line.
-func (b *Beside) Returned(took, waited time.Duration) {
-	b.mu.Lock()
-	b.inflight.Called(took, waited)
-	b.mu.Unlock()
-}
-
-// CallRank returns the rank of a nested call: that of the most important rule
-// running here which makes it.
-func (b *Beside) CallRank(call string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	best, found := 0, false
-	for rule, rank := range b.ranks {
-		if (!found || rank < best) && b.running[rule] > 0 && slices.Contains(b.calls.Of(rule), call) {
-			best, found = rank, true
-		}
-	}
-	return best
-}
-
 // Run runs the work, waiting for its turn.
 func (b *Beside) Run(ctx context.Context, w *berylwork.Work) *berylreply.Reply {
 	start := time.Now()
@@ -182,16 +152,6 @@
 	return nil
 }
 
-// bound refuses new work of a rule whose calls wait too long.
-func (b *Beside) bound(w *berylwork.Work) *berylreply.Reply {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if w.Call || b.inflight.May(w.Rule) {
-		return nil
-	}
-	return berylreply.Fail(berylend.Unsent, berylreply.Bound)
-}
-
 // relimit follows the slots of the server, less those that it still spends on
 // requests that nobody waits for.
 func (b *Beside) relimit() {
@@ -304,16 +264,6 @@
 	h.Set(name, value)
 }
 
-// ended records how new work ended: badly when its answer failed or is late. What
-// the caller gave up earlier says nothing.
-func (b *Beside) ended(ctx context.Context, w *berylwork.Work, out *berylreply.Reply) {
-	now := time.Now()
-	bad := now.After(w.Aim) || (ctx.Err() == nil && (out.End != berylend.Answered || out.Status >= http.StatusInternalServerError))
-	b.mu.Lock()
-	b.inflight.End(now, w.Rule, bad)
-	b.mu.Unlock()
-}
-
 // heard takes the load that the server tells: running, waiting and slots. What
 // it has beyond the requests sent from here are requests that were given up.
 func (b *Beside) heard(load string) {
