--- a/core/berylinflight/inflight.go
+++ b/core/berylinflight/inflight.go
@@ -23,18 +23,19 @@
 	called float64 // seconds that calls took, moving sum
 	ran    float64 // seconds of running, moving sum
 	at     time.Time
-	run    int
+	runs   int // requests that run now, of all rules
 }
 
+// rule is what is known of one rule. A window lasts from one look to the next.
 type rule struct {
 	limit   float64 // 0 without
 	running int
-	area    float64 // seconds of running in this window
-	begin   time.Time
-	at      time.Time
-	ended   int
-	bad     int
-	step    int
+	area    float64   // seconds of running in this window
+	begin   time.Time // of this window
+	at      time.Time // up to which area counts
+	ended   int       // in this window
+	bad     int       // of those
+	step    int       // of importance
 	calm    int     // looks in a row without one that was late or failed
 	aim     float64 // seconds that requests have, moving mean
 	full    bool    // some were refused in this window
@@ -85,7 +86,7 @@
 	keep := 1 / (1 + dt/memory)
 	f.waited *= keep
 	f.called *= keep
-	f.ran = (f.ran + float64(f.run)*dt) * keep
+	f.ran = (f.ran + float64(f.runs)*dt) * keep
 }
 
 // tolerance returns the part of requests that may be late or fail. Where calls wait
@@ -115,7 +116,7 @@
 // than the least important, and aim the time that it has to end well.
 func (f *Inflight) Begin(now time.Time, name string, step int, aim time.Duration) {
 	f.advance(now)
-	f.run++
+	f.runs++
 	r := f.get(now, name)
 	r.running++
 	r.step = step
@@ -131,7 +132,7 @@
 // End records that one has ended; bad says that it failed or was late.
 func (f *Inflight) End(now time.Time, name string, bad bool) {
 	f.advance(now)
-	f.run--
+	f.runs--
 	r := f.get(now, name)
 	r.running--
 	r.ended++
