--- a/core/berylinflight/inflight.go
+++ b/core/berylinflight/inflight.go
@@ -36,9 +36,9 @@
 	ended   int       // in this window
 	bad     int       // of those
 	step    int       // of importance
-	calm    int     // looks in a row without one that was late or failed
-	aim     float64 // seconds that requests have, moving mean
-	full    bool    // some were refused in this window
+	calm    int       // looks in a row without one that was late or failed
+	aim     float64   // seconds that requests have, moving mean
+	full    bool      // some were refused in this window
 }
 
 const (
