Borrow no tokens ahead for requests that rarely come

Cause: an instance borrowed a token for the next request whenever it had used one. A small workspace is asked for at each instance every few seconds, borrowed tokens expire after one second, so about half of a small workspace's rate expired unused and as many requests were refused within the rate. Change: held ahead is what a quarter of a second of demand uses, rounded down; requests that wait at once are asked for in one question. State in berylcalls that nothing read is gone.

--- a/core/berylcalls/calls.go
+++ b/core/berylcalls/calls.go
@@ -19,7 +19,6 @@
 	made    map[string]float64            // calls in this sample
 	both    map[string]map[string]float64 // products of requests, by rule and rule
 	seen    map[string]map[string]float64 // products of calls and requests
-	fitted  map[string]map[string]float64 // calls that a request makes, by call and rule
 	of      map[string][]string
 	samples int // since the last fit
 	at      time.Time
@@ -57,7 +56,7 @@
 	return &Calls{
 		rules: map[string]*rule{}, made: map[string]float64{},
 		both: map[string]map[string]float64{}, seen: map[string]map[string]float64{},
-		fitted: map[string]map[string]float64{}, of: map[string][]string{},
+		of: map[string][]string{},
 	}
 }
 
@@ -196,7 +195,6 @@
 				fit[rule] = max(0, rest/(r[rule]+ridge))
 			}
 		}
-		c.fitted[call] = fit
 		c.relate(call, fit)
 	}
 }
--- a/core/beryllender/lender.go
+++ b/core/beryllender/lender.go
@@ -7,7 +7,10 @@
 // bucket and lends small numbers of tokens to those that have requests.
 package beryllender
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Lender is the bucket of one workspace. It is not safe for concurrent use.
 type Lender struct {
@@ -60,5 +63,5 @@
 	if l.rate <= 0 {
 		return 0, time.Second
 	}
-	return 0, time.Duration((1 - l.tokens) / l.rate * float64(time.Second))
+	return 0, time.Duration(math.Ceil((1 - l.tokens) / l.rate * float64(time.Second)))
 }
--- a/core/beryllender/lender_test.go
+++ b/core/beryllender/lender_test.go
@@ -68,3 +68,15 @@
 	}
 	require.LessOrEqual(t, sum, 100)
 }
+
+// After ten milliseconds at 200 a second the bucket holds a token less a rounding
+// error.
+func TestWhoGetsNoneIsToldToWait(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	l := New(now, 200, 2)
+	for _, gap := range []time.Duration{1, 3, 3, 3} {
+		now = now.Add(gap * time.Millisecond)
+		n, wait := l.Lend(now, 1)
+		require.True(t, n > 0 || wait > 0)
+	}
+}
--- a/io/berylquotas/quotas.go
+++ b/io/berylquotas/quotas.go
@@ -44,6 +44,7 @@
 	until   time.Time // when the tokens expire
 	asked   time.Time
 	pending bool
+	waiting int       // requests that wait for an answer
 	denied  time.Time // until when there are none
 	answer  chan struct{}
 }
@@ -111,9 +112,14 @@
 		return false, wait
 	}
 	ch := s.answer // Asking may answer at once.
-	q.ask(now, s)
+	s.waiting++
+	q.ask(now, s, max(s.waiting, q.ahead(now, s)))
 	q.mu.Unlock()
-	return q.wait(ctx, s, ch)
+	ok, wait := q.wait(ctx, s, ch)
+	q.mu.Lock()
+	s.waiting--
+	q.mu.Unlock()
+	return ok, wait
 }
 
 // wait waits for the lender's answer. Only when none comes does this instance
@@ -147,30 +153,31 @@
 			return s.own.Take(now)
 		}
 		ch = s.answer
-		q.ask(now, s)
+		q.ask(now, s, max(s.waiting, q.ahead(now, s)))
 		q.mu.Unlock()
 	}
 }
 
 // refill borrows ahead when the stock runs low.
 func (q *Quotas) refill(now time.Time, s *stock) {
-	if s.tokens < (q.want(now, s)+1)/2 && !now.Before(s.denied) {
-		q.ask(now, s)
+	if n := q.ahead(now, s); s.tokens < (n+1)/2 && !now.Before(s.denied) {
+		q.ask(now, s, n)
 	}
 }
 
-// want is how many tokens to hold.
-func (q *Quotas) want(now time.Time, s *stock) int {
-	return min(1+int(s.own.Demand(now)*stockFor), mostStock)
+// ahead is how many tokens to hold for requests to come. Where few come none are
+// held: they would expire, and others lack them.
+func (q *Quotas) ahead(now time.Time, s *stock) int {
+	return min(int(s.own.Demand(now)*stockFor), mostStock)
 }
 
-// ask asks the lender for tokens; this instance may be it.
-func (q *Quotas) ask(now time.Time, s *stock) {
+// ask asks the lender for tokens, to hold n; this instance may be it.
+func (q *Quotas) ask(now time.Time, s *stock, n int) {
 	if s.pending && now.Sub(s.asked) < askTimeout {
 		return
 	}
 	workspace := s.account.Workspace
-	want := max(1, q.want(now, s)-s.tokens)
+	want := max(1, n-s.tokens)
 	to := q.lender(workspace)
 	if to == q.host {
 		n, wait := q.lend(now, s.account, want)
