Lend a workspace's tokens from one data centre in large fleets

Cause: fleets above 24 instances divided each rate and burst among the data centres. A rate of 6 with a burst of 6 in four parts refuses half of what comes at 5 a second (a model of it: 0.50, at most 20 of 36 in five seconds). And the instances of a data centre, which start together and tell one instance of each other data centre at every turn, all told the same one: with fifteen it heard the others every six seconds, so parts followed demand of long ago. Change: one data centre lends a workspace's tokens, the lender of each other borrows from it (core/berylbranch) and falls back on its part after two seconds and four questions without an answer; the lending one keeps back the parts of those it has not heard for two seconds. Instances tell others by their place in the list.

--- a/io/berylquotas/quotas.go
+++ b/io/berylquotas/quotas.go
@@ -1,7 +1,9 @@
 // Package berylquotas keeps workspaces within their rates over the whole fleet.
 //
 // Tokens are borrowed from the instance that lends those of the workspace. While
-// that cannot be heard an instance falls back on its own part of the rate.
+// that cannot be heard an instance falls back on its own part of the rate. In a
+// large fleet each data centre has such an instance, and one of these lends to the
+// others.
 package berylquotas
 
 import (
@@ -26,14 +28,34 @@
 	fleet   int
 	stocks  map[string]*stock
 	lenders map[string]*beryllender.Lender
+	// home returns the instances of the data centre that lends a workspace's
+	// tokens, best first; none where that is the own one.
+	home     func(workspace string) []string
+	branches map[string]*branch
 }
 
 // Message asks for tokens or lends them, by workspace. WaitMs says when there
-// are some again where none are lent.
+// are some again where none are lent. Borrow and Granted go between data centres;
+// Asker is the host that a question came from which was passed on.
 type Message struct {
-	Ask    map[string]int `cbor:"1,keyasint,omitempty"`
-	Lent   map[string]int `cbor:"2,keyasint,omitempty"`
-	WaitMs map[string]int `cbor:"3,keyasint,omitempty"`
+	Ask     map[string]int `cbor:"1,keyasint,omitempty"`
+	Lent    map[string]int `cbor:"2,keyasint,omitempty"`
+	WaitMs  map[string]int `cbor:"3,keyasint,omitempty"`
+	Borrow  map[string]int `cbor:"4,keyasint,omitempty"`
+	Granted map[string]int `cbor:"5,keyasint,omitempty"`
+	Asker   string         `cbor:"6,keyasint,omitempty"`
+}
+
+// Round is what an instance knows of the fleet at a tick.
+type Round struct {
+	Alive    []string                        // hosts that lend in the own data centre, or the fleet when that is small
+	Fleet    int                             // number of all instances
+	Lenders  int                             // data centres that lend, each its part, while they do not hear each other
+	Others   map[string]float64              // requests per second that other instances are asked for, by workspace
+	Reserved func(workspace string) float64  // part of a rate that those use which cannot be heard
+	Home     func(workspace string) []string // instances of the lending data centre, best first; none for the own
+	Account  func(workspace string) *berylaccount.Account
+	All      []string // workspaces
 }
 
 // stock is what this instance holds of one workspace's tokens.
@@ -62,7 +84,7 @@
 
 // New returns quotas for the instance at host.
 func New(host string, send func(host string, m Message)) *Quotas {
-	return &Quotas{host: host, send: send, alive: []string{host}, fleet: unknownFleet, stocks: map[string]*stock{}, lenders: map[string]*beryllender.Lender{}}
+	return &Quotas{host: host, send: send, alive: []string{host}, fleet: unknownFleet, stocks: map[string]*stock{}, lenders: map[string]*beryllender.Lender{}, branches: map[string]*branch{}}
 }
 
 // lender returns the host that lends the workspace's tokens. All instances that
@@ -180,21 +202,33 @@
 	want := max(1, n-s.tokens)
 	to := q.lender(workspace)
 	if to == q.host {
-		n, wait := q.lend(now, s.account, want)
-		q.lent(now, s, n, wait)
-		return
+		if n, wait, answered := q.lend(now, s.account, q.host, want); answered {
+			q.lent(now, s, n, wait)
+			return
+		}
 	}
 	s.pending, s.asked = true, now
-	q.send(to, Message{Ask: map[string]int{workspace: want}})
+	if to != q.host {
+		q.send(to, Message{Ask: map[string]int{workspace: want}})
+	}
 }
 
-func (q *Quotas) lend(now time.Time, a *berylaccount.Account, want int) (int, time.Duration) {
+// lend lends tokens to the instance at from, or lets it wait.
+func (q *Quotas) lend(now time.Time, a *berylaccount.Account, from string, want int) (n int, wait time.Duration, answered bool) {
+	if b := q.branch(a.Workspace); b != nil {
+		return q.lendBorrowed(now, a, b, from, want)
+	}
+	n, wait = q.bucket(now, a).Lend(now, want)
+	return n, wait, true
+}
+
+func (q *Quotas) bucket(now time.Time, a *berylaccount.Account) *beryllender.Lender {
 	l := q.lenders[a.Workspace]
 	if l == nil {
 		l = beryllender.New(now, a.Rate, a.Burst)
 		q.lenders[a.Workspace] = l
 	}
-	return l.Lend(now, want)
+	return l
 }
 
 // lent takes in the lender's answer.
@@ -238,11 +272,20 @@
 			if a == nil || q.lender(workspace) != q.host {
 				continue // The asker falls back on its own part.
 			}
-			n, wait := q.lend(now, a, min(want, mostStock))
-			out.Lent[workspace] = n
-			out.WaitMs[workspace] = int(wait.Milliseconds())
+			if n, wait, answered := q.lend(now, a, from, min(want, mostStock)); answered {
+				out.Lent[workspace] = n
+				out.WaitMs[workspace] = int(wait.Milliseconds())
+			}
 		}
-		q.send(from, out)
+		if len(out.Lent) > 0 {
+			q.send(from, out)
+		}
+	}
+	if len(m.Borrow) > 0 {
+		q.lendFar(now, from, m, account)
+	}
+	for workspace, n := range m.Granted {
+		q.granted(now, workspace, n, time.Duration(m.WaitMs[workspace])*time.Millisecond)
 	}
 	for workspace, n := range m.Lent {
 		if s := q.stocks[workspace]; s != nil && s.pending {
@@ -264,35 +307,50 @@
 	return out
 }
 
-// Tick sets who lends. Others holds the demand of the other instances; reserved
-// returns the part of a rate that those use which cannot be heard. Fleet is the
-// number of all instances; lenders is how many lend tokens of one workspace.
-func (q *Quotas) Tick(alive []string, fleet, lenders int, others map[string]float64, reserved func(workspace string) float64, account func(workspace string) *berylaccount.Account, all []string) {
+// Tick sets who lends.
+func (q *Quotas) Tick(r Round) {
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.alive, q.fleet = alive, max(fleet, 1)
+	q.alive, q.fleet, q.home = r.Alive, max(r.Fleet, 1), r.Home
 	for workspace, s := range q.stocks {
-		a := account(workspace)
+		a := r.Account(workspace)
 		if a == nil || a.Rate <= 0 {
 			delete(q.stocks, workspace)
 			continue
 		}
 		s.account = a
 		s.own.Set(now, a.Rate, a.Burst)
-		s.own.Share(now, others[workspace], q.fleet)
+		s.own.Share(now, r.Others[workspace], q.fleet)
 	}
-	for _, workspace := range all {
-		a := account(workspace)
+	for _, workspace := range r.All {
+		a := r.Account(workspace)
 		if a == nil || a.Rate <= 0 || q.lender(workspace) != q.host {
 			delete(q.lenders, workspace)
+			delete(q.branches, workspace)
 			continue
 		}
-		l := q.lenders[workspace]
-		if l == nil {
-			l = beryllender.New(now, a.Rate, a.Burst)
-			q.lenders[workspace] = l
+		q.tickLender(now, r, a)
+	}
+}
+
+// tickLender sets what this instance lends of one workspace's tokens. Another
+// data centre's are lent only while that does not answer.
+func (q *Quotas) tickLender(now time.Time, r Round, a *berylaccount.Account) {
+	lenders := r.Lenders
+	var home []string
+	if r.Home != nil {
+		home, lenders = r.Home(a.Workspace), 1
+	}
+	if len(home) == 0 {
+		delete(q.branches, a.Workspace)
+	} else {
+		b := q.branch(a.Workspace)
+		b.home, lenders = home, r.Lenders
+		if !b.Alone(now) {
+			delete(q.lenders, a.Workspace)
+			return
 		}
-		l.Set(now, a.Rate, a.Burst, reserved(workspace), lenders)
 	}
+	q.bucket(now, a).Set(now, a.Rate, a.Burst, r.Reserved(a.Workspace), lenders)
 }
--- a/io/berylquotas/quotas_test.go
+++ b/io/berylquotas/quotas_test.go
@@ -20,7 +20,7 @@
 	var all []*Quotas
 	for i := range instances {
 		q := New(string(rune('a'+i)), func(string, Message) {})
-		q.Tick([]string{q.host}, instances, 1, nil, func(string) float64 { return float64(instances-1) / instances }, account, []string{"w"})
+		q.Tick(Round{Alive: []string{q.host}, Fleet: instances, Lenders: 1, Others: nil, Reserved: func(string) float64 { return float64(instances-1) / instances }, Account: account, All: []string{"w"}})
 		all = append(all, q)
 	}
 	took := 0
@@ -65,7 +65,7 @@
 	none := func(string) float64 { return 0 }
 	others := map[string]float64{"w": 400}
 	for _, q := range all {
-		q.Tick(hosts, instances, 1, others, none, account, []string{"w"})
+		q.Tick(Round{Alive: hosts, Fleet: instances, Lenders: 1, Others: others, Reserved: none, Account: account, All: []string{"w"}})
 	}
 	time.Sleep(100 * time.Millisecond)
 	begin := time.Now()
--- a/io/berylquotas/thin_test.go
+++ b/io/berylquotas/thin_test.go
@@ -38,7 +38,7 @@
 			})
 		}
 		for _, q := range all {
-			q.Tick(hosts, instances, 1, nil, func(string) float64 { return 0 }, account, []string{"w"})
+			q.Tick(Round{Alive: hosts, Fleet: instances, Lenders: 1, Others: nil, Reserved: func(string) float64 { return 0 }, Account: account, All: []string{"w"}})
 		}
 		r := rand.New(rand.NewPCG(1, 1))
 		asked, refused := 0, 0
--- /dev/null
+++ b/io/berylsidecar/far.go
@@ -0,0 +1,99 @@
+package berylsidecar
+
+import (
+	"slices"
+	"time"
+
+	"berylspan/io/berylgossip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// far is what an instance of a large fleet knows of the other data centres.
+type far struct {
+	own   string
+	zones map[string][]string // hosts by data centre
+	heard map[string]bool     // data centres that were heard lately
+}
+
+// farSilent is how long none of a data centre's instances may be heard: five
+// words. A data centre without an answer of the lender uses its own part no
+// sooner.
+const farSilent = 2 * time.Second
+
+func (s *Sidecar) far(peers []berylgossip.Peer) *far {
+	f := &far{own: s.set.Load().Zone, zones: map[string][]string{}, heard: map[string]bool{}}
+	leaving := map[string]bool{}
+	for _, p := range peers {
+		leaving[p.Host] = p.Word.Leaving
+		if time.Since(p.Heard) < farSilent {
+			f.heard[p.Word.Zone] = true
+		}
+	}
+	f.heard[f.own] = true
+	for zone := range s.zones() {
+		f.zones[zone] = nil
+	}
+	for _, l := range s.view.State().Hosts {
+		if !leaving[l.Host()] {
+			f.zones[l.Zone] = append(f.zones[l.Zone], l.Host())
+		}
+	}
+	return f
+}
+
+// lends returns the data centre that lends a workspace's tokens. All that list
+// the same data centres agree on it.
+func (f *far) lends(workspace string) string {
+	best, most := f.own, uint64(0)
+	for zone := range f.zones {
+		if h := xxhash.Sum64String(zone + "\x00" + workspace); h >= most {
+			best, most = zone, h
+		}
+	}
+	return best
+}
+
+// lending returns the instances of the data centre that lends a workspace's
+// tokens in the order in which they are asked, none where it is the own one.
+func (f *far) lending(workspace string) []string {
+	zone := f.lends(workspace)
+	if zone == f.own {
+		return nil
+	}
+	rank := func(host string) uint64 { return xxhash.Sum64String(host + "\x00" + workspace) }
+	hosts := slices.Clone(f.zones[zone])
+	slices.SortFunc(hosts, func(a, b string) int {
+		if rank(a) > rank(b) {
+			return -1
+		}
+		return 1
+	})
+	return hosts
+}
+
+// part returns the part of a workspace's rate that may be lent here. The lending
+// data centre keeps back what those use that it cannot hear, the others keep to
+// their own part. Demand is by instance of the own data centre and by data centre.
+func (f *far) part(workspace string, own map[string]float64, demand map[string]map[string]float64) float64 {
+	lends := f.lends(workspace) == f.own
+	here, there, unheard := own[workspace], 0.0, 0
+	for host, by := range demand {
+		_, zone := f.zones[host]
+		switch {
+		case !zone, lends && f.heard[host]:
+			here += by[workspace]
+		default:
+			there += by[workspace]
+			unheard++
+		}
+	}
+	part := 1.0
+	if there > 0 {
+		part = here / (here + there)
+	}
+	if lends {
+		part = min(part, 1-float64(unheard)/float64(len(f.zones)))
+	}
+	return part
+}
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -115,6 +115,7 @@
 		}
 	}
 	turn := int(s.turn.Add(1))
+	place := placeOf(set.Host, zones[set.Zone])
 	large = len(seen) > berylenter.SmallFleet
 	for zone, hosts := range zones {
 		switch {
@@ -123,13 +124,30 @@
 		case all || !large:
 			far = append(far, hosts...)
 		default:
-			slices.Sort(hosts)
-			far = append(far, hosts[turn%len(hosts)])
+			far = append(far, inTurn(hosts, place, turn))
 		}
 	}
 	return near, far, large
 }
 
+// placeOf returns the place of an instance among those of its data centre.
+func placeOf(host string, others []string) int {
+	n := 0
+	for _, h := range others {
+		if h < host {
+			n++
+		}
+	}
+	return n
+}
+
+// inTurn returns whom of another data centre an instance tells in a turn. Those
+// that started together tell different ones.
+func inTurn(hosts []string, place, turn int) string {
+	slices.Sort(hosts)
+	return hosts[(place+turn)%len(hosts)]
+}
+
 // place returns this instance's place among those alive, in an order that all
 // agree on. In a large fleet the instances of one data centre come before those
 // of the next.
--- a/io/berylsidecar/quotas.go
+++ b/io/berylsidecar/quotas.go
@@ -128,33 +128,25 @@
 	s.reserveMu.Lock()
 	defer s.reserveMu.Unlock()
 	s.reserve.Update(own, demand, silent)
-	s.quotas.Tick(alive, fleet, lenders, sum(demand), s.reserved(own, demand, fleet, large), s.account, p.Workspaces())
-}
-
-// reserved returns the part of a rate that others use which cannot be heard. The
-// other data centres of a large fleet lend their own parts, which follow what
-// each is asked for.
-func (s *Sidecar) reserved(own map[string]float64, demand map[string]map[string]float64, fleet int, large bool) func(workspace string) float64 {
-	zones := s.zones()
-	return func(workspace string) float64 {
-		if !large {
-			return s.reserve.Part(workspace, fleet)
-		}
-		here, there := own[workspace], 0.0
-		for host, by := range demand {
-			if zones[host] {
-				there += by[workspace]
-			} else {
-				here += by[workspace]
+	round := berylquotas.Round{
+		Alive: alive, Fleet: fleet, Lenders: lenders, Others: sum(demand),
+		Reserved: func(workspace string) float64 { return s.reserve.Part(workspace, fleet) },
+		Account:  s.account, All: p.Workspaces(),
+	}
+	if large {
+		far := s.far(peers)
+		round.Home = far.lending
+		round.Reserved = func(workspace string) float64 {
+			part := far.part(workspace, own, demand)
+			first := 1 / float64(lenders)
+			if far.lends(workspace) == far.own {
+				first = part
 			}
+			part = s.ramp.Limit(time.Now(), workspace, part, first)
+			return 1 - part*(1-s.reserve.Part(workspace, max(fleet/lenders, 1)))
 		}
-		part := 1.0
-		if here+there > 0 {
-			part = here / (here + there)
-		}
-		part = s.ramp.Limit(time.Now(), workspace, part, 1/float64(len(zones)))
-		return 1 - part*(1-s.reserve.Part(workspace, max(fleet/len(zones), 1)))
 	}
+	s.quotas.Tick(round)
 }
 
 func scale(words map[string]uint32) map[string]float64 {
