Pass changes of the list on as differences

Change: an asker tells the change and digest of the list it has; who held that state among its last 64 answers with what differs, else with the whole list (core/berylchanges). A list that does not come to the told digest is fetched whole.

--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"time"
@@ -192,12 +193,12 @@
 
 // serveState passes on what is known here.
 func (s *Sidecar) serveState(w http.ResponseWriter, r *http.Request) {
-	version, err := strconv.ParseInt(r.URL.Query().Get("version"), 10, 64)
+	k, err := known(r.URL.Query())
 	if err != nil {
-		http.Error(w, "version must be a number", http.StatusBadRequest)
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	data, err := cbor.Marshal(s.view.Snapshot(version))
+	data, err := cbor.Marshal(s.view.Snapshot(k))
 	if err != nil {
 		s.log.Error().Err(err).Msg("state not encoded")
 		w.WriteHeader(http.StatusInternalServerError)
@@ -206,9 +207,32 @@
 	_, _ = w.Write(data) // The asker asks again.
 }
 
-// pull fetches what the instance at addr knows.
-func (s *Sidecar) pull(ctx context.Context, addr string, version int64) (*berylview.Snapshot, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+statePath+"?version="+strconv.FormatInt(version, 10), nil)
+// known reads what an asker has. One that does not tell the change of its list is
+// given the whole.
+func known(q url.Values) (k berylview.Known, err error) {
+	if k.Version, err = strconv.ParseInt(q.Get("version"), 10, 64); err != nil {
+		return k, eris.New("version must be a number")
+	}
+	if !q.Has("change") {
+		return k, nil
+	}
+	if k.Change, err = strconv.ParseInt(q.Get("change"), 10, 64); err != nil {
+		return k, eris.New("change must be a number")
+	}
+	if k.Digest, err = strconv.ParseUint(q.Get("digest"), 16, 64); err != nil {
+		return k, eris.New("digest must be a hexadecimal number")
+	}
+	return k, nil
+}
+
+// pull fetches what the instance at addr knows that this one does not.
+func (s *Sidecar) pull(ctx context.Context, addr string, k berylview.Known) (*berylview.Snapshot, error) {
+	q := url.Values{
+		"version": {strconv.FormatInt(k.Version, 10)},
+		"change":  {strconv.FormatInt(k.Change, 10)},
+		"digest":  {strconv.FormatUint(k.Digest, 16)},
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+statePath+"?"+q.Encode(), nil)
 	if err != nil {
 		return nil, eris.Wrap(err, "pull")
 	}
--- a/io/berylview/peers.go
+++ b/io/berylview/peers.go
@@ -4,21 +4,29 @@
 	"context"
 	"time"
 
+	"berylspan/core/berylchanges"
 	"berylspan/core/beryllisted"
 )
 
-// Snapshot returns what to pass on to an instance that has the given version.
-func (v *View) Snapshot(version int64) *Snapshot {
+// Snapshot returns what to pass on to an instance that knows k.
+func (v *View) Snapshot(k Known) *Snapshot {
 	s := v.State()
-	out := &Snapshot{Change: s.Change, Revision: s.Revision, AgeMs: v.clock().Sub(s.Fresh).Milliseconds()}
+	out := &Snapshot{Change: s.Change, Revision: s.Revision, AgeMs: v.clock().Sub(s.Fresh).Milliseconds(), Digest: s.Digest}
 	if s.Published != nil {
 		out.Version = s.Published.Version
-		if out.Version > version {
+		if out.Version > k.Version {
 			out.Raw = s.Raw
 		}
 	}
-	for _, l := range s.Listed {
-		out.Listed = append(out.Listed, l)
+	v.mu.Lock()
+	set, gone, ok := v.changes.Since(k.Change, k.Digest, s.Listed)
+	v.mu.Unlock()
+	if ok && k.Change > 0 {
+		out.Base, out.Listed, out.Gone = k.Change, set, gone
+	} else {
+		for _, l := range s.Listed {
+			out.Listed = append(out.Listed, l)
+		}
 	}
 	if m := v.lapses.Load(); m != nil {
 		out.Lapsed = make(map[string]int64, len(*m))
@@ -66,21 +74,24 @@
 	}
 	v.pulling = true
 	s := v.State()
-	version := int64(0)
+	k := Known{Change: s.Change, Digest: s.Digest}
 	if s.Published != nil {
-		version = s.Published.Version
+		k.Version = s.Published.Version
+	}
+	if v.differs {
+		k.Change = 0
 	}
 	go func() { // Ends within pullTimeout.
 		pctx, cancel := context.WithTimeout(ctx, pullTimeout)
 		defer cancel()
-		snap, err := v.pull(pctx, addr, version)
+		snap, err := v.pull(pctx, addr, k)
 		// Only fails when the view has ended.
-		_ = v.loop.Post(ctx, func() { v.pulled(addr, snap, err) })
+		_ = v.loop.Post(ctx, func() { v.pulled(addr, k, snap, err) })
 	}()
 }
 
 // pulled takes over what another instance knows, unless it is older.
-func (v *View) pulled(addr string, snap *Snapshot, err error) {
+func (v *View) pulled(addr string, k Known, snap *Snapshot, err error) {
 	v.pulling = false
 	if err != nil {
 		v.log.Warn().Err(err).Str("peer", addr).Msg("peer's knowledge not read")
@@ -99,14 +110,10 @@
 		changed = true
 		v.log.Info().Int64("version", p.Version).Int("rules", p.Rules()).Str("from", addr).Msg("configuration in force")
 	}
-	if snap.Change > old.Change {
+	if list := v.listed(addr, k, snap); list != nil && snap.Change > old.Change {
 		s.Change = snap.Change
 		s.Revision = max(old.Revision, snap.Revision)
-		s.Listed = make(map[string]beryllisted.Listed, len(snap.Listed))
-		for _, l := range snap.Listed {
-			s.Listed[l.ID] = l
-		}
-		s.index()
+		s.Listed = list
 		changed = true
 		// What this instance saw end may have come back since.
 		v.lapsed = make(map[string]time.Time, len(snap.Lapsed))
@@ -115,11 +122,31 @@
 		}
 		v.shareLapses()
 	}
-	if fresh := v.clock().Add(-time.Duration(snap.AgeMs) * time.Millisecond); fresh.After(old.Fresh) && snap.Change >= old.Change {
+	if fresh := v.clock().Add(-time.Duration(snap.AgeMs) * time.Millisecond); fresh.After(old.Fresh) && snap.Change == s.Change {
 		s.Fresh = fresh
 	}
-	v.now.Store(&s)
+	v.store(old, &s)
 	if changed {
 		v.changed()
 	}
 }
+
+// listed returns the list that a snapshot leads to, nil when that is not known:
+// then the whole list is asked for next.
+func (v *View) listed(addr string, k Known, snap *Snapshot) map[string]beryllisted.Listed {
+	if snap.Base == 0 {
+		v.differs = false
+		return berylchanges.Apply(nil, snap.Listed, nil)
+	}
+	old := v.State()
+	if snap.Base != k.Change || old.Change != k.Change || old.Digest != k.Digest {
+		return nil // The list has changed since the question; the next word leads to another.
+	}
+	list := berylchanges.Apply(old.Listed, snap.Listed, snap.Gone)
+	if berylchanges.Digest(list) != snap.Digest {
+		v.log.Warn().Str("peer", addr).Int64("change", snap.Change).Msg("differences do not fit, the whole list is needed")
+		v.differs = true
+		return nil
+	}
+	return list
+}
--- a/io/berylview/state.go
+++ b/io/berylview/state.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"berylspan/core/berylchanges"
 	"berylspan/core/beryllisted"
 	"berylspan/core/berylpublished"
 )
@@ -20,12 +21,14 @@
 	Listed    map[string]beryllisted.Listed
 	Services  map[string][]beryllisted.Listed // by id
 	Hosts     map[string]beryllisted.Listed   // by address of the backend server
+	Digest    uint64                          // of Listed
 	Fresh     time.Time                       // when the store was last known to hold this
 }
 
 // index fills what follows from the list. Of two entries with one address the
 // later lifetime holds.
 func (s *State) index() {
+	s.Digest = berylchanges.Digest(s.Listed)
 	s.Hosts = make(map[string]beryllisted.Listed, len(s.Listed))
 	for _, l := range s.Listed {
 		if o, ok := s.Hosts[l.Addr]; !ok || l.Born > o.Born || (l.Born == o.Born && l.ID < o.ID) {
--- a/io/berylview/view.go
+++ b/io/berylview/view.go
@@ -9,9 +9,11 @@
 	"context"
 	"errors"
 	"maps"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"berylspan/core/berylchanges"
 	"berylspan/core/beryllisted"
 	"berylspan/io/berylclock"
 	"berylspan/io/berylloop"
@@ -22,7 +24,7 @@
 // View is safe for concurrent use; one goroutine owns its changes.
 type View struct {
 	feed    Feed
-	pull    func(ctx context.Context, addr string, version int64) (*Snapshot, error)
+	pull    func(ctx context.Context, addr string, k Known) (*Snapshot, error)
 	place   func() int
 	changed func()
 	log     zerolog.Logger
@@ -41,9 +43,21 @@
 	outage  time.Time // end of the last time in which the store could not be read
 	lapsed  map[string]time.Time
 	lapses  atomic.Pointer[map[string]time.Time] // a copy for other goroutines
+	differs bool                                 // what a peer's differences led to is not what it has
+
+	mu      sync.Mutex
+	changes *berylchanges.Changes
+}
+
+// Known is what an instance has already when it asks another.
+type Known struct {
+	Version int64  // of the configuration
+	Change  int64  // of the list
+	Digest  uint64 // of the list
 }
 
-// Snapshot is what one instance passes on to another.
+// Snapshot is what one instance passes on to another. Listed and Gone are the
+// differences from the list of change Base, or Listed is all when that is 0.
 type Snapshot struct {
 	Version  int64                `cbor:"1,keyasint"`
 	Raw      []byte               `cbor:"2,keyasint,omitempty"` // nil when the asker has it
@@ -52,6 +66,9 @@
 	AgeMs    int64                `cbor:"5,keyasint"`
 	Listed   []beryllisted.Listed `cbor:"6,keyasint"`
 	Lapsed   map[string]int64     `cbor:"7,keyasint,omitempty"` // milliseconds that entries are kept which have ended
+	Base     int64                `cbor:"8,keyasint,omitempty"`
+	Gone     []string             `cbor:"9,keyasint,omitempty"` // ids
+	Digest   uint64               `cbor:"10,keyasint,omitempty"`
 }
 
 const (
@@ -71,7 +88,7 @@
 )
 
 // Pull sets how knowledge is fetched from another instance.
-func Pull(f func(ctx context.Context, addr string, version int64) (*Snapshot, error)) func(*View) {
+func Pull(f func(ctx context.Context, addr string, k Known) (*Snapshot, error)) func(*View) {
 	return func(v *View) { v.pull = f }
 }
 
@@ -87,7 +104,7 @@
 
 // New returns a view that knows nothing before Run.
 func New(feed Feed, log zerolog.Logger, opts ...func(*View)) *View {
-	v := &View{feed: feed, log: log, clock: berylclock.Boot, loop: berylloop.New(), place: func() int { return 0 }, changed: func() {}, lapsed: map[string]time.Time{}}
+	v := &View{feed: feed, log: log, clock: berylclock.Boot, loop: berylloop.New(), place: func() int { return 0 }, changed: func() {}, lapsed: map[string]time.Time{}, changes: berylchanges.New()}
 	for _, o := range opts {
 		o(v)
 	}
@@ -234,13 +251,23 @@
 	if mattered {
 		s.Change = max(s.Revision, old.Change+1)
 	}
-	s.index()
-	v.now.Store(&s)
+	v.store(old, &s)
 	if mattered {
 		v.changed()
 	}
 }
 
+// store makes s the state after old.
+func (v *View) store(old, s *State) {
+	s.index()
+	if s.Change != old.Change {
+		v.mu.Lock()
+		v.changes.Record(s.Change, s.Digest, old.Listed, s.Listed)
+		v.mu.Unlock()
+	}
+	v.now.Store(s)
+}
+
 // drop takes an entry out. After an outage of the store entries have ended that
 // are about to come back, so they stay a moment longer.
 func (v *View) drop(now time.Time, listed map[string]beryllisted.Listed, id string) bool {
@@ -291,7 +318,6 @@
 	}
 	v.shareLapses()
 	s.Change = max(s.Revision, old.Change+1)
-	s.index()
-	v.now.Store(&s)
+	v.store(old, &s)
 	v.changed()
 }
--- a/io/berylview/view_test.go
+++ b/io/berylview/view_test.go
@@ -127,7 +127,7 @@
 	clock := func() time.Time { mu.Lock(); defer mu.Unlock(); return now }
 	advance := func(d time.Duration) { mu.Lock(); now = now.Add(d); mu.Unlock() }
 	f := &feed{all: first, next: func() (*Batch, error) { return nil, errors.New("down") }}
-	v := start(t, f, Clock(clock), Pull(func(context.Context, string, int64) (*Snapshot, error) {
+	v := start(t, f, Clock(clock), Pull(func(context.Context, string, Known) (*Snapshot, error) {
 		return &Snapshot{Version: 3, Change: 60, Revision: 60, Listed: []beryllisted.Listed{server("1"), server("2")}}, nil
 	}))
 	eventually(t, func() bool { advance(time.Millisecond); return known(v) })
@@ -183,7 +183,7 @@
 func TestWhatAnotherInstanceReadIsTakenFromIt(t *testing.T) {
 	f := &feed{all: first, next: nothing}
 	pulls := 0
-	v := start(t, f, Place(func() int { return 1 }), Pull(func(context.Context, string, int64) (*Snapshot, error) {
+	v := start(t, f, Place(func() int { return 1 }), Pull(func(context.Context, string, Known) (*Snapshot, error) {
 		pulls++
 		return &Snapshot{Version: 9, Raw: []byte("y"), Change: 50, Revision: 50, Listed: []beryllisted.Listed{server("7")}}, nil
 	}))
@@ -221,7 +221,7 @@
 		return &Batch{Revision: 5, Whole: true, Published: version(3), Set: []beryllisted.Listed{server("1")}}, nil
 	}}
 	var pulled atomic.Bool
-	v := start(t, f, Pull(func(context.Context, string, int64) (*Snapshot, error) {
+	v := start(t, f, Pull(func(context.Context, string, Known) (*Snapshot, error) {
 		pulled.Store(true)
 		return &Snapshot{Version: 9, Raw: []byte("x"), Change: 8, Revision: 8, Listed: []beryllisted.Listed{server("1"), server("2")}}, nil
 	}))
