Say less between data centres and at a change in large fleets

Cause: every instance told one instance of each other data centre the sums of all workspaces every 0.4 s, though only those that lend a workspace's tokens use them; and at every change of the list each of them told all of its data centre, which had been told already: with 100 instances 10,000 datagrams. Change: sums go only to the first three that may lend a workspace's tokens there; own parts count other data centres as asked for as much as the own one, so that all parts together stay within the rate; whoever learns of a change from its own data centre tells nobody at once (its next word does). Also: lenders are ranked by berylhash like everything else.

--- a/io/berylquotas/quotas.go
+++ b/io/berylquotas/quotas.go
@@ -12,10 +12,9 @@
 	"time"
 
 	"berylspan/core/berylaccount"
+	"berylspan/core/berylhash"
 	"berylspan/core/beryllender"
 	"berylspan/core/berylquota"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Quotas is safe for concurrent use. Send passes a message to another instance.
@@ -90,9 +89,9 @@
 // lender returns the host that lends the workspace's tokens. All instances that
 // hear the same others agree on it.
 func (q *Quotas) lender(workspace string) string {
-	best, most := q.host, uint64(0)
+	best, most := q.host, berylhash.Score(workspace, q.host)
 	for _, host := range q.alive {
-		if h := xxhash.Sum64String(host + "\x00" + workspace); h >= most {
+		if h := berylhash.Score(workspace, host); h > most || (h == most && host < best) {
 			best, most = host, h
 		}
 	}
--- a/io/berylsidecar/far.go
+++ b/io/berylsidecar/far.go
@@ -1,18 +1,19 @@
 package berylsidecar
 
 import (
+	"maps"
 	"slices"
 	"time"
 
+	"berylspan/core/berylhash"
 	"berylspan/io/berylgossip"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // far is what an instance of a large fleet knows of the other data centres.
 type far struct {
 	own   string
 	zones map[string][]string // hosts by data centre
+	zone  map[string]string   // data centre by host
 	heard map[string]bool     // data centres that were heard lately
 }
 
@@ -22,7 +23,7 @@
 const farSilent = 2 * time.Second
 
 func (s *Sidecar) far(peers []berylgossip.Peer) *far {
-	f := &far{own: s.set.Load().Zone, zones: map[string][]string{}, heard: map[string]bool{}}
+	f := &far{own: s.set.Load().Zone, zones: map[string][]string{}, zone: map[string]string{}, heard: map[string]bool{}}
 	leaving := map[string]bool{}
 	for _, p := range peers {
 		leaving[p.Host] = p.Word.Leaving
@@ -35,8 +36,9 @@
 		f.zones[zone] = nil
 	}
 	for _, l := range s.view.State().Hosts {
-		if !leaving[l.Host()] {
-			f.zones[l.Zone] = append(f.zones[l.Zone], l.Host())
+		if host := l.Host(); !leaving[host] {
+			f.zones[l.Zone] = append(f.zones[l.Zone], host)
+			f.zone[host] = l.Zone
 		}
 	}
 	return f
@@ -45,13 +47,14 @@
 // lends returns the data centre that lends a workspace's tokens. All that list
 // the same data centres agree on it.
 func (f *far) lends(workspace string) string {
-	best, most := f.own, uint64(0)
-	for zone := range f.zones {
-		if h := xxhash.Sum64String(zone + "\x00" + workspace); h >= most {
-			best, most = zone, h
-		}
-	}
-	return best
+	return berylhash.Top(1, workspace, slices.Collect(maps.Keys(f.zones)))[0]
+}
+
+// mayLend tells whether an instance is among the first of its data centre to lend
+// a workspace's tokens, so that it does once one or two others are gone.
+func (f *far) mayLend(host, workspace string) bool {
+	const first = 3
+	return slices.Contains(berylhash.Top(first, workspace, f.zones[f.zone[host]]), host)
 }
 
 // lending returns the instances of the data centre that lends a workspace's
@@ -61,15 +64,8 @@
 	if zone == f.own {
 		return nil
 	}
-	rank := func(host string) uint64 { return xxhash.Sum64String(host + "\x00" + workspace) }
-	hosts := slices.Clone(f.zones[zone])
-	slices.SortFunc(hosts, func(a, b string) int {
-		if rank(a) > rank(b) {
-			return -1
-		}
-		return 1
-	})
-	return hosts
+	hosts := f.zones[zone]
+	return berylhash.Top(len(hosts), workspace, hosts)
 }
 
 // part returns the part of a workspace's rate that may be lent here. The lending
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -52,12 +52,25 @@
 	}
 }
 
-// changed tells others at once that something new is known here.
-func (s *Sidecar) changed() {
-	s.say(false)
+// changed tells others at once that something new is known here. In a large fleet
+// whoever told the own data centre has told all of it.
+func (s *Sidecar) changed(from string) {
+	if s.enter.Fleet() <= berylenter.SmallFleet || !s.near(from) {
+		s.say(false)
+	}
 	s.look()
 }
 
+// near tells whether an address is that of an instance of the own data centre.
+func (s *Sidecar) near(addr string) bool {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return false // No instance: the store.
+	}
+	zone := s.set.Load().Zone
+	return slices.ContainsFunc(s.gossip.Peers(), func(p berylgossip.Peer) bool { return p.Host == host && p.Word.Zone == zone })
+}
+
 // look passes on what was heard of other instances.
 func (s *Sidecar) look() {
 	peers := s.gossip.Peers()
@@ -85,17 +98,36 @@
 	w.Busy, w.Limit = s.beside.Load()
 	near, far, large := s.hosts(all)
 	err := s.gossip.Send(near, w)
-	if large {
-		w.Demand, w.Sums = nil, s.sums()
-	}
-	if err == nil {
+	if !large && err == nil {
 		err = s.gossip.Send(far, w)
 	}
+	if large && err == nil {
+		err = s.sayFar(far, w)
+	}
 	if err != nil {
 		s.log.Warn().Err(err).Msg("word not sent")
 	}
 }
 
+// sayFar sends a word to instances of other data centres of a large fleet. What
+// the own data centre is asked for matters only to those that may lend there.
+func (s *Sidecar) sayFar(hosts []string, w berylgossip.Word) error {
+	f := s.far(s.gossip.Peers())
+	sums := s.sums()
+	for _, host := range hosts {
+		w.Demand, w.Sums = nil, map[string]uint32{}
+		for workspace, n := range sums {
+			if f.mayLend(host, workspace) {
+				w.Sums[workspace] = n
+			}
+		}
+		if err := s.gossip.Send([]string{host}, w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // hosts returns the instances to tell, those of the own data centre and others.
 func (s *Sidecar) hosts(all bool) (near, far []string, large bool) {
 	set := s.set.Load()
--- a/io/berylsidecar/quotas.go
+++ b/io/berylsidecar/quotas.go
@@ -134,6 +134,7 @@
 		Account:  s.account, All: p.Workspaces(),
 	}
 	if large {
+		round.Others = s.others(own, demand, lenders)
 		far := s.far(peers)
 		round.Home = far.lending
 		round.Reserved = func(workspace string) float64 {
@@ -149,6 +150,25 @@
 	s.quotas.Tick(round)
 }
 
+// others returns what all other instances of a large fleet are asked for as far as
+// the own data centre shows it: each other one counts with as much, so that the
+// parts of all together are no more than a rate.
+func (s *Sidecar) others(own map[string]float64, demand map[string]map[string]float64, zones int) map[string]float64 {
+	near := map[string]float64{}
+	known := s.zones()
+	for host, by := range demand {
+		if !known[host] {
+			for workspace, d := range by {
+				near[workspace] += d
+			}
+		}
+	}
+	for workspace, d := range own {
+		near[workspace] = float64(zones)*(near[workspace]+d) - d
+	}
+	return near
+}
+
 func scale(words map[string]uint32) map[string]float64 {
 	out := make(map[string]float64, len(words))
 	for workspace, n := range words {
--- a/io/berylview/peers.go
+++ b/io/berylview/peers.go
@@ -127,7 +127,7 @@
 	}
 	v.store(old, &s)
 	if changed {
-		v.changed()
+		v.changed(addr)
 	}
 }
 
--- a/io/berylview/view.go
+++ b/io/berylview/view.go
@@ -26,7 +26,7 @@
 	feed    Feed
 	pull    func(ctx context.Context, addr string, k Known) (*Snapshot, error)
 	place   func() int
-	changed func()
+	changed func(from string)
 	log     zerolog.Logger
 	clock   berylclock.Clock
 	loop    *berylloop.Loop
@@ -96,15 +96,16 @@
 // from 0.
 func Place(f func() int) func(*View) { return func(v *View) { v.place = f } }
 
-// Changed sets what is called after each change that matters.
-func Changed(f func()) func(*View) { return func(v *View) { v.changed = f } }
+// Changed sets what is called after each change that matters, with the address of
+// the instance that it was fetched from, "" for one of the store.
+func Changed(f func(from string)) func(*View) { return func(v *View) { v.changed = f } }
 
 // Clock sets the clock.
 func Clock(c berylclock.Clock) func(*View) { return func(v *View) { v.clock = c } }
 
 // New returns a view that knows nothing before Run.
 func New(feed Feed, log zerolog.Logger, opts ...func(*View)) *View {
-	v := &View{feed: feed, log: log, clock: berylclock.Boot, loop: berylloop.New(), place: func() int { return 0 }, changed: func() {}, lapsed: map[string]time.Time{}, changes: berylchanges.New()}
+	v := &View{feed: feed, log: log, clock: berylclock.Boot, loop: berylloop.New(), place: func() int { return 0 }, changed: func(string) {}, lapsed: map[string]time.Time{}, changes: berylchanges.New()}
 	for _, o := range opts {
 		o(v)
 	}
@@ -253,7 +254,7 @@
 	}
 	v.store(old, &s)
 	if mattered {
-		v.changed()
+		v.changed("")
 	}
 }
 
@@ -319,5 +320,5 @@
 	v.shareLapses()
 	s.Change = max(s.Revision, old.Change+1)
 	v.store(old, &s)
-	v.changed()
+	v.changed("")
 }
