--- a/core/berylinflight/inflight.go
+++ b/core/berylinflight/inflight.go
@@ -43,7 +43,7 @@
 
 const (
 	window    = 250 * time.Millisecond // between two looks at least
-	enough    = 10                      // requests that end between two looks at least
+	enough    = 10                     // requests that end between two looks at least
 	plenty    = 60                     // requests that end between two looks from which chance has no part
 	tolerable = 0.1                    // part of the least important requests that may be late or fail before fewer run
 	important = 3.0                    // factor on that a step of importance: less important requests give way first
@@ -51,7 +51,7 @@
 	use       = 0.8                    // part of the time that requests have which they may take
 	fall      = 0.9                    // factor of the bound at a look, at most
 	deepest   = 0.25                   // as above, at least
-	rise      = 1.1                   // factor of the bound when few are late or fail
+	rise      = 1.1                    // factor of the bound when few are late or fail
 	more      = 0.3                    // added to the bound with it
 	calm      = 6                      // looks in a row after which the overload seems over
 	again     = 1.25                   // further factor of the bound then
