Withhold far servers only where there are near ones

Cause: seen on reading: after one server held back new work, for 60 ms no server of another data centre was tried, also where the own one has none of the service, so everything was refused there. Change: far servers are withheld beside near ones only. A test fails before.

--- a/core/berylplace/place.go
+++ b/core/berylplace/place.go
@@ -6,6 +6,8 @@
 // would take there; the least wins.
 package berylplace
 
+import "slices"
+
 // Candidate is an instance that could run the request. Busy counts the requests
 // that run or wait there, in requests; Limit how many run at once; Hold is how
 // long one takes, in seconds, 0 when unknown. Far instances are in another data
@@ -58,12 +60,13 @@
 	return best, expect
 }
 
-// Withhold takes as tried those that hold back new work, and those of other data
-// centres: what is overloaded lies behind all of them alike, so a request would
-// only travel further to be refused.
+// Withhold takes as tried those that hold back new work and, where the own data
+// centre has any, those of others: what is overloaded lies behind all of them
+// alike, so a request would only travel further to be refused.
 func Withhold(cs []Candidate) {
+	near := slices.ContainsFunc(cs, func(c Candidate) bool { return !c.Far })
 	for i := range cs {
-		if cs[i].Bound || cs[i].Far {
+		if cs[i].Bound || (cs[i].Far && near) {
 			cs[i].Tried = true
 		}
 	}
--- a/core/berylplace/withhold_test.go
+++ b/core/berylplace/withhold_test.go
@@ -31,3 +31,12 @@
 	i, _ = Choose(cs, Costs{Far: 0.06}, func() float64 { return 0 })
 	require.Equal(t, 0, i, "not in another data centre")
 }
+
+// The own data centre has no server of the service: a far one that does not hold
+// back new work is all there is.
+func TestWithoutServersNearbyFarOnesAreNotWithheld(t *testing.T) {
+	cs := []Candidate{{Far: true, Bound: true}, {Far: true}}
+	Withhold(cs)
+	require.True(t, cs[0].Tried)
+	require.False(t, cs[1].Tried)
+}
