--- a/io/berylapp/app.go
+++ b/io/berylapp/app.go
@@ -9,13 +9,15 @@
 	"io"
 	"os/signal"
 	"syscall"
+	"time"
 )
 
 // App runs one subcommand.
 type App struct {
-	out     io.Writer
-	err     io.Writer
-	sidecar func(ctx context.Context, out io.Writer) int
+	out      io.Writer
+	err      io.Writer
+	sidecar  func(ctx context.Context, out io.Writer) int
+	demoHTTP func(ctx context.Context, out io.Writer, long time.Duration, seed uint64) (violations int, err error)
 }
 
 // Exit codes.
@@ -41,6 +43,11 @@
 	return func(a *App) { a.sidecar = run }
 }
 
+// DemoHTTP sets what the demo plays with case http.
+func DemoHTTP(run func(ctx context.Context, out io.Writer, long time.Duration, seed uint64) (violations int, err error)) func(*App) {
+	return func(a *App) { a.demoHTTP = run }
+}
+
 type command struct {
 	name string
 	text string
--- a/io/berylapp/commands.go
+++ b/io/berylapp/commands.go
@@ -154,7 +154,7 @@
 func (a *App) demo(ctx context.Context, args []string) int {
 	fs := a.flags("demo", "[flags]")
 	opt := beryldemo.Options{Out: a.out}
-	fs.StringVar(&opt.Case, "case", "huella", "deployment: huella or karri")
+	fs.StringVar(&opt.Case, "case", "huella", "deployment: huella, karri, or http for the plain HTTP path (there only -seed and -for count)")
 	fs.StringVar(&opt.Policy, "policy", "full", "off (no control), split (fixed limits, equal split) or full")
 	fs.Uint64Var(&opt.Seed, "seed", 1, "seed of the callers' random choices")
 	fs.DurationVar(&opt.For, "for", 20*time.Second, "length of the run")
@@ -163,7 +163,11 @@
 	if code, done := parse(fs, args); done {
 		return code
 	}
-	violations, err := beryldemo.Run(ctx, opt)
+	run := func() (int, error) { return beryldemo.Run(ctx, opt) }
+	if opt.Case == "http" && a.demoHTTP != nil {
+		run = func() (int, error) { return a.demoHTTP(ctx, a.out, opt.For, opt.Seed) }
+	}
+	violations, err := run()
 	if err != nil {
 		a.complain("%v", err)
 		return Failed
--- a/main.go
+++ b/main.go
@@ -5,9 +5,10 @@
 	"os"
 
 	"berylspan/io/berylapp"
+	"berylspan/platform/berylhttpdemo"
 	"berylspan/platform/berylrun"
 )
 
 func main() {
-	os.Exit(berylapp.New(os.Stdout, os.Stderr, berylapp.Sidecar(berylrun.Run)).Run(os.Args[1:]))
+	os.Exit(berylapp.New(os.Stdout, os.Stderr, berylapp.Sidecar(berylrun.Run), berylapp.DemoHTTP(berylhttpdemo.Run)).Run(os.Args[1:]))
 }
