--- a/io/berylsidecar/quotas.go
+++ b/io/berylsidecar/quotas.go
@@ -88,11 +88,43 @@
 	if p == nil {
 		return
 	}
-	set := s.set.Load()
 	fleet := s.enter.Fleet()
 	large := fleet > berylenter.SmallFleet
-	demand := map[string]map[string]float64{}
-	silent := map[string]bool{}
+	alive, demand, silent := s.lending(peers, large)
+	own := s.quotas.Demand()
+	if large {
+		s.addZones(peers, demand)
+	}
+	s.reserveMu.Lock()
+	defer s.reserveMu.Unlock()
+	s.reserve.Update(own, demand, silent)
+	round := berylquotas.Round{
+		Alive: alive, Fleet: fleet, Lenders: 1, Others: sum(demand),
+		Reserved: func(workspace string) float64 { return s.reserve.Part(workspace, fleet) },
+		Account:  s.account, All: p.Workspaces(),
+	}
+	if large {
+		zones := len(s.zones())
+		far := s.far(peers)
+		round.Lenders, round.Others, round.Home = zones, s.others(own, demand, zones), far.lending
+		round.Reserved = func(workspace string) float64 {
+			part := far.part(workspace, own, demand)
+			first := 1 / float64(zones)
+			if far.lends(workspace) == far.own {
+				first = part
+			}
+			part = s.ramp.Limit(time.Now(), workspace, part, first)
+			return 1 - part*(1-s.reserve.Part(workspace, max(fleet/zones, 1)))
+		}
+	}
+	s.quotas.Tick(round)
+}
+
+// lending returns which instances may lend, what each is asked for, and which are
+// silent, of the own data centre in a large fleet and of all in a small one.
+func (s *Sidecar) lending(peers []berylgossip.Peer, large bool) (alive []string, demand map[string]map[string]float64, silent map[string]bool) {
+	set := s.set.Load()
+	demand, silent = map[string]map[string]float64{}, map[string]bool{}
 	listed := map[string]bool{}
 	for _, l := range s.view.State().Hosts {
 		host := l.Host()
@@ -104,7 +136,7 @@
 			silent[host] = true // Until it was heard.
 		}
 	}
-	alive := []string{set.Host}
+	alive = []string{set.Host}
 	for _, peer := range peers {
 		age := time.Since(peer.Heard)
 		if (large && peer.Word.Zone != set.Zone) || (!listed[peer.Host] && age > unlistedFor) {
@@ -119,35 +151,7 @@
 			alive = append(alive, peer.Host)
 		}
 	}
-	lenders := 1
-	if large {
-		lenders = len(s.zones())
-		s.addZones(peers, demand)
-	}
-	own := s.quotas.Demand()
-	s.reserveMu.Lock()
-	defer s.reserveMu.Unlock()
-	s.reserve.Update(own, demand, silent)
-	round := berylquotas.Round{
-		Alive: alive, Fleet: fleet, Lenders: lenders, Others: sum(demand),
-		Reserved: func(workspace string) float64 { return s.reserve.Part(workspace, fleet) },
-		Account:  s.account, All: p.Workspaces(),
-	}
-	if large {
-		round.Others = s.others(own, demand, lenders)
-		far := s.far(peers)
-		round.Home = far.lending
-		round.Reserved = func(workspace string) float64 {
-			part := far.part(workspace, own, demand)
-			first := 1 / float64(lenders)
-			if far.lends(workspace) == far.own {
-				first = part
-			}
-			part = s.ramp.Limit(time.Now(), workspace, part, first)
-			return 1 - part*(1-s.reserve.Part(workspace, max(fleet/lenders, 1)))
-		}
-	}
-	s.quotas.Tick(round)
+	return alive, demand, silent
 }
 
 // others returns what all other instances of a large fleet are asked for as far as
