Index the list only when it has changed

Cause: on a second reading: every read of the store that told nothing, twice a second on the reader, copied and indexed the whole list, and since differences are passed on also took its digest; so did every fetch that brought only a configuration. Change: the list is copied and indexed where it changes. Nothing else does.

--- a/io/berylview/peers.go
+++ b/io/berylview/peers.go
@@ -114,6 +114,7 @@
 		s.Change = snap.Change
 		s.Revision = max(old.Revision, snap.Revision)
 		s.Listed = list
+		s.index()
 		changed = true
 		// What this instance saw end may have come back since.
 		v.lapsed = make(map[string]time.Time, len(snap.Lapsed))
--- a/io/berylview/view.go
+++ b/io/berylview/view.go
@@ -214,7 +214,23 @@
 		mattered = true
 		v.log.Info().Int64("version", b.Published.Version).Int("rules", b.Published.Rules()).Str("from", "store").Msg("configuration in force")
 	}
-	listed := make(map[string]beryllisted.Listed, len(old.Listed)+len(b.Set))
+	if b.Whole || len(b.Set)+len(b.Gone) > 0 {
+		listed, changed := v.relist(now, old, b)
+		s.Listed, mattered = listed, mattered || changed
+		s.index()
+	}
+	if mattered {
+		s.Change = max(s.Revision, old.Change+1)
+	}
+	v.store(old, &s)
+	if mattered {
+		v.changed("")
+	}
+}
+
+// relist returns the list with what a batch tells of it, and whether that matters.
+func (v *View) relist(now time.Time, old *State, b *Batch) (listed map[string]beryllisted.Listed, mattered bool) {
+	listed = make(map[string]beryllisted.Listed, len(old.Listed)+len(b.Set))
 	gone := b.Gone
 	if b.Whole {
 		there := make(map[string]bool, len(b.Set))
@@ -248,19 +264,11 @@
 			v.log.Info().Str("instance", l.ID).Str("service", l.Service).Bool("leaving", l.Leaving).Int64("revision", b.Revision).Msg("list changed")
 		}
 	}
-	s.Listed = listed
-	if mattered {
-		s.Change = max(s.Revision, old.Change+1)
-	}
-	v.store(old, &s)
-	if mattered {
-		v.changed("")
-	}
+	return listed, mattered
 }
 
-// store makes s the state after old.
+// store makes s, whose list is indexed, the state after old.
 func (v *View) store(old, s *State) {
-	s.index()
 	if s.Change != old.Change {
 		v.mu.Lock()
 		v.changes.Record(s.Change, s.Digest, old.Listed, s.Listed)
@@ -319,6 +327,7 @@
 	}
 	v.shareLapses()
 	s.Change = max(s.Revision, old.Change+1)
+	s.index()
 	v.store(old, &s)
 	v.changed("")
 }
