--- a/core/berylbranch/branch.go
+++ b/core/berylbranch/branch.go
@@ -9,16 +9,16 @@
 package berylbranch
 
 import (
-	"math"
 	"time"
+
+	"berylspan/core/berylarrivals"
 )
 
 // Branch is not safe for concurrent use.
 type Branch struct {
 	tokens  int
-	until   time.Time // when the tokens expire
-	demand  float64   // tokens per second asked for here, moving mean
-	counted time.Time
+	until   time.Time              // when the tokens expire
+	demand  berylarrivals.Arrivals // tokens asked for here
 	asked   time.Time
 	pending bool
 	tries   int       // questions in a row without an answer
@@ -28,7 +28,6 @@
 
 // The times are those of one message between data centres and of three words.
 const (
-	window     = 1.0                    // seconds; time constant of the demand
 	aheadFor   = 0.1                    // seconds of demand that are borrowed ahead
 	most       = 200                    // tokens
 	life       = time.Second            // of borrowed tokens
@@ -51,20 +50,13 @@
 }
 
 // Count records that tokens were asked for here.
-func (b *Branch) Count(now time.Time, n int) {
-	b.demand = b.demandAt(now) + float64(n)/window
-	b.counted = now
-}
-
-func (b *Branch) demandAt(now time.Time) float64 {
-	return b.demand * math.Exp(-max(0, now.Sub(b.counted).Seconds())/window)
-}
+func (b *Branch) Count(now time.Time, n int) { b.demand.Add(now, n) }
 
 // Ask returns how many tokens to ask for now, 0 for none, when want are waited
 // for; and how many questions before had no answer. Once alone, what is asked
 // only finds out whether the lender answers again.
 func (b *Branch) Ask(now time.Time, want int) (n, tries int) {
-	ahead := min(int(b.demandAt(now)*aheadFor), most)
+	ahead := min(int(b.demand.PerSecond(now)*aheadFor), most)
 	if want == 0 && b.tokens >= (ahead+1)/2 {
 		return 0, 0
 	}
--- a/core/berylchanges/changes.go
+++ b/core/berylchanges/changes.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"berylspan/core/beryllisted"
 
@@ -88,10 +89,7 @@
 // Since returns what differs in the list from the state that a change led to;
 // false when that state was never held here or is forgotten.
 func (c *Changes) Since(change int64, digest uint64, list map[string]beryllisted.Listed) (set []beryllisted.Listed, lost []string, ok bool) {
-	for _, m := range c.known {
-		ok = ok || m == mark{change, digest}
-	}
-	if !ok {
+	if !slices.Contains(c.known, mark{change, digest}) {
 		return nil, nil, false
 	}
 	for id, at := range c.since {
--- a/core/berylmodel/instance.go
+++ b/core/berylmodel/instance.go
@@ -51,10 +51,7 @@
 	hold   float64
 }
 
-const (
-	mostTries = 5
-	farCost   = 0.06 // seconds, of another data centre
-)
+const mostTries = 5
 
 func (m *model) add(s berylscene.Service, i int) {
 	in := &instance{
@@ -156,7 +153,7 @@
 	if bound {
 		berylplace.Withhold(cs)
 	}
-	i, _ := berylplace.Choose(cs, berylplace.Costs{Far: farCost}, in.m.rng.Float64)
+	i, _ := berylplace.Choose(cs, berylplace.Costs{Far: berylplace.FarCost}, in.m.rng.Float64)
 	if i < 0 {
 		return nil
 	}
--- a/core/berylplace/place.go
+++ b/core/berylplace/place.go
@@ -26,6 +26,9 @@
 	Tried    bool
 }
 
+// FarCost stands for the bytes and delay of another data centre, in seconds.
+const FarCost = 0.06
+
 // Costs are in seconds.
 type Costs struct {
 	Far float64 // of another data centre, in place of its bytes and delay
--- a/core/berylquota/quota.go
+++ b/core/berylquota/quota.go
@@ -9,8 +9,9 @@
 package berylquota
 
 import (
-	"math"
 	"time"
+
+	"berylspan/core/berylarrivals"
 )
 
 // Quota is one workspace at one instance. It is not safe for concurrent use.
@@ -18,19 +19,17 @@
 	rate, burst float64 // of the whole fleet
 	part        float64 // of this instance
 	tokens      float64
-	demand      float64 // requests per second asked for here, moving mean
-	counted     time.Time
+	demand      berylarrivals.Arrivals // requests asked for here
 	filled      time.Time
 }
 
 const (
-	window   = 1.0 // seconds; time constant of the demand
 	leastCap = 1.0 // tokens that a bucket holds at least
 )
 
 // New returns an empty quota for an instance in a fleet of n.
 func New(now time.Time, rate, burst float64, n int) *Quota {
-	return &Quota{rate: rate, burst: burst, part: 1 / float64(max(n, 1)), counted: now, filled: now}
+	return &Quota{rate: rate, burst: burst, part: 1 / float64(max(n, 1)), filled: now}
 }
 
 // Set changes the rate and burst of the fleet. Tokens above the new burst go.
@@ -44,7 +43,7 @@
 
 // Demand returns the requests per second asked for here.
 func (q *Quota) Demand(now time.Time) float64 {
-	return q.demand * math.Exp(-max(0, now.Sub(q.counted).Seconds())/window)
+	return q.demand.PerSecond(now)
 }
 
 // Share sets this instance's part from the demand of the other instances
@@ -75,10 +74,7 @@
 }
 
 // Count records a request that was asked for here.
-func (q *Quota) Count(now time.Time) {
-	q.demand = q.Demand(now) + 1/window
-	q.counted = now
-}
+func (q *Quota) Count(now time.Time) { q.demand.Add(now, 1) }
 
 // Take takes a token for a request. When there is none it returns how long until
 // there is one.
--- a/io/berylenter/enter.go
+++ b/io/berylenter/enter.go
@@ -65,10 +65,6 @@
 // SilentAfter is how long an instance may not be heard: three words.
 const SilentAfter = 1300 * time.Millisecond
 
-const (
-	farCost = 0.06 // seconds; stands for the bytes and delay of another data centre
-)
-
 // New completes an enter whose exported fields are set.
 func New(e *Enter) *Enter {
 	e.standing = berylstanding.New()
--- a/io/berylenter/run.go
+++ b/io/berylenter/run.go
@@ -145,7 +145,7 @@
 		t.full = true
 		berylplace.Withhold(cs)
 	}
-	i, _ := berylplace.Choose(cs, berylplace.Costs{Far: farCost}, random)
+	i, _ := berylplace.Choose(cs, berylplace.Costs{Far: berylplace.FarCost}, random)
 	if i < 0 {
 		return beryllisted.Listed{}, false
 	}
--- a/io/berylmesh/message.go
+++ b/io/berylmesh/message.go
@@ -136,10 +136,7 @@
 		return w, nil
 	}
 	w.Length = int64(n)
-	if n > 0 {
-		w.Body = make([]byte, n)
-		_, err = io.ReadFull(l.br, w.Body)
-	}
+	w.Body, err = l.whole(n)
 	return w, err
 }
 
@@ -210,9 +207,16 @@
 		return out, nil
 	}
 	out.Length = int64(n)
-	if n > 0 {
-		out.Body = make([]byte, n)
-		_, err = io.ReadFull(l.br, out.Body)
-	}
+	out.Body, err = l.whole(n)
 	return out, err
 }
+
+// whole reads a body of n bytes, nil of none.
+func (l *lane) whole(n int) ([]byte, error) {
+	if n == 0 {
+		return nil, nil
+	}
+	body := make([]byte, n)
+	_, err := io.ReadFull(l.br, body)
+	return body, err
+}
--- a/io/berylsidecar/quotas.go
+++ b/io/berylsidecar/quotas.go
@@ -1,6 +1,7 @@
 package berylsidecar
 
 import (
+	"maps"
 	"time"
 
 	"berylspan/core/berylaccount"
@@ -91,7 +92,7 @@
 	fleet := s.enter.Fleet()
 	large := fleet > berylenter.SmallFleet
 	alive, demand, silent := s.lending(peers, large)
-	own := s.quotas.Demand()
+	own, near := s.quotas.Demand(), sum(demand)
 	if large {
 		s.addZones(peers, demand)
 	}
@@ -99,14 +100,14 @@
 	defer s.reserveMu.Unlock()
 	s.reserve.Update(own, demand, silent)
 	round := berylquotas.Round{
-		Alive: alive, Fleet: fleet, Lenders: 1, Others: sum(demand),
+		Alive: alive, Fleet: fleet, Lenders: 1, Others: near,
 		Reserved: func(workspace string) float64 { return s.reserve.Part(workspace, fleet) },
 		Account:  s.account, All: p.Workspaces(),
 	}
 	if large {
 		zones := len(s.zones())
 		far := s.far(peers)
-		round.Lenders, round.Others, round.Home = zones, s.others(own, demand, zones), far.lending
+		round.Lenders, round.Others, round.Home = zones, everywhere(own, near, zones), far.lending
 		round.Reserved = func(workspace string) float64 {
 			part := far.part(workspace, own, demand)
 			first := 1 / float64(zones)
@@ -154,23 +155,16 @@
 	return alive, demand, silent
 }
 
-// others returns what all other instances of a large fleet are asked for as far as
-// the own data centre shows it: each other one counts with as much, so that the
-// parts of all together are no more than a rate.
-func (s *Sidecar) others(own map[string]float64, demand map[string]map[string]float64, zones int) map[string]float64 {
-	near := map[string]float64{}
-	known := s.zones()
-	for host, by := range demand {
-		if !known[host] {
-			for workspace, d := range by {
-				near[workspace] += d
-			}
-		}
-	}
+// everywhere returns what all other instances of a large fleet are asked for as
+// far as the own data centre shows it: each other one counts with as much, so that
+// the parts of all together are no more than a rate. Near is that of the other
+// instances of the own one.
+func everywhere(own, near map[string]float64, zones int) map[string]float64 {
+	out := maps.Clone(near)
 	for workspace, d := range own {
-		near[workspace] = float64(zones)*(near[workspace]+d) - d
+		out[workspace] = float64(zones)*(near[workspace]+d) - d
 	}
-	return near
+	return out
 }
 
 func scale(words map[string]uint32) map[string]float64 {
