Wait longer for a token while no owner of its shard answers

Cause: a call waits 200 ms for a token.

Change: as long as no owner has answered during the wait, a call waits up to 1 s, within its deadline. An owner that grants nothing ends the wait at 200 ms as before.

--- a/io/berylrates/limiter.go
+++ b/io/berylrates/limiter.go
@@ -38,10 +38,17 @@
 	cancel   context.CancelFunc
 	fetches  sync.WaitGroup
 
-	mu      sync.Mutex
-	cache   *beryltokencache.TokenCache
-	replied map[string]chan struct{} // by workspace; closed when a request for its tokens ends
-	owners  map[zoneShard]string     // IDs of the instances to send the next requests to
+	mu     sync.Mutex
+	cache  *beryltokencache.TokenCache
+	ended  map[string]*tokenFetch // by workspace; the request for its tokens that ends next
+	owners map[zoneShard]string   // IDs of the instances to send the next requests to
+}
+
+// tokenFetch is a request for tokens that calls wait for. answered may be read once done
+// is closed, and tells whether the owner of the shard answered.
+type tokenFetch struct {
+	done     chan struct{}
+	answered bool
 }
 
 type zoneShard struct {
@@ -50,7 +57,8 @@
 }
 
 const (
-	maxTokenWait     = 200 * time.Millisecond
+	maxTokenWait     = 200 * time.Millisecond // for a token while the owners of shards answer
+	maxOwnerWait     = time.Second            // for a token while no owner answers, which does not mean that the workspace is over its rate
 	localTimeout     = 60 * time.Millisecond  // of a request to the own data centre
 	remoteTimeout    = 150 * time.Millisecond // of a request to another data centre
 	prefetchInterval = 20 * time.Millisecond
@@ -73,7 +81,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		cache:    beryltokencache.New(beryltiming.Default(), rand.Uint64),
-		replied:  map[string]chan struct{}{},
+		ended:    map[string]*tokenFetch{},
 		owners:   map[zoneShard]string{},
 	}
 	for _, opt := range opts {
@@ -138,7 +146,8 @@
 }
 
 // Take spends one token of the workspace for a call of the class, waiting up to
-// maxTokenWait for one, and returns the time until which the call may begin.
+// maxTokenWait for one, or up to maxOwnerWait if no owner of its shard answers, and returns
+// the time until which the call may begin.
 func (l *Limiter) Take(ctx context.Context, w *berylworkspace.Workspace, class berylclass.Class) (time.Time, *berylrefusal.Refusal) {
 	now := l.clock()
 	l.mu.Lock()
@@ -165,42 +174,46 @@
 	return time.Now().Add(at.Sub(now))
 }
 
-// waitForToken spends a token as soon as one is available. It returns false when
-// maxTokenWait has passed, when ctx ends or when the cache rejects the call. The caller
-// must have added the call to the waiting ones; waitForToken removes it.
+// waitForToken spends a token as soon as one is available. It returns false when the time
+// to wait has passed, when ctx ends or when the cache rejects the call. The caller must
+// have added the call to the waiting ones; waitForToken removes it.
 func (l *Limiter) waitForToken(ctx context.Context, w *berylworkspace.Workspace, class berylclass.Class) (time.Time, bool) {
+	start := time.Now()
 	timer := time.NewTimer(maxTokenWait)
 	defer timer.Stop()
-	for timedOut := false; ; {
+	for limit, answered := maxOwnerWait, false; ; {
+		if answered {
+			limit = maxTokenWait
+		}
 		l.mu.Lock()
 		now := l.clock()
 		startBy, ok := l.cache.Take(now, w.Name, class)
-		if ok || timedOut || ctx.Err() != nil || l.cache.ShouldReject(now, w.Name, class, l.zones(), w.Plan.Rate, maxTokenWait) {
+		if ok || time.Since(start) >= limit || ctx.Err() != nil || l.cache.ShouldReject(now, w.Name, class, l.zones(), w.Plan.Rate, maxTokenWait) {
 			l.cache.AddWaiting(now, w.Name, class, -1)
 			l.mu.Unlock()
 			return startBy, ok
 		}
 		l.fetchIfDue(w.Name)
-		replied := l.replySignal(w.Name)
+		fetch := l.nextFetch(w.Name)
 		l.mu.Unlock()
 		select {
-		case <-replied:
+		case <-fetch.done:
+			answered = answered || fetch.answered
 		case <-ctx.Done():
 		case <-timer.C:
-			timedOut = true
+			timer.Reset(maxOwnerWait - maxTokenWait)
 		}
 	}
 }
 
-// replySignal returns a channel that is closed when a request for tokens of workspace
-// ends.
-func (l *Limiter) replySignal(workspace string) chan struct{} {
-	ch := l.replied[workspace]
-	if ch == nil {
-		ch = make(chan struct{})
-		l.replied[workspace] = ch
+// nextFetch returns the request for tokens of workspace that ends next.
+func (l *Limiter) nextFetch(workspace string) *tokenFetch {
+	f := l.ended[workspace]
+	if f == nil {
+		f = &tokenFetch{done: make(chan struct{})}
+		l.ended[workspace] = f
 	}
-	return ch
+	return f
 }
 
 // fetchIfDue starts a request for tokens of workspace if the cache has one to send.
@@ -256,9 +269,10 @@
 		batch := reply.Batches[0]
 		l.cache.HandleBatch(now, req.Workspace, zone, beryltokenbatch.Batch{ID: batch.Id, Tokens: batch.N, TTL: time.Duration(batch.Life), FleetDemand: batch.Demand})
 	}
-	if ch := l.replied[req.Workspace]; ch != nil {
-		close(ch)
-		delete(l.replied, req.Workspace)
+	if f := l.ended[req.Workspace]; f != nil {
+		f.answered = err == nil && reply.Owner
+		close(f.done)
+		delete(l.ended, req.Workspace)
 	}
 	l.fetchIfDue(req.Workspace)
 }
