Predict the wait of less important requests with the more important ones to come

Cause: the expected wait counted the requests ahead and the slots that nested calls leave, not the more important requests that arrive meanwhile and go first. Under a surge the queue of the others stood just past their target latency: five of six slots that they got served an answer that was late.

Change: core/beryladmission measures the slots that accepted new work of each rank takes (decaying sums, 1 s). The expected wait divides by what more important ranks leave and adds two standard deviations of their arrivals. At dequeue a request that can no longer meet its target goes behind all that can; if it is not likely to run before its deadline, it is refused then. The slots of new work are otherwise used as before.

--- a/core/beryladmission/controller.go
+++ b/core/beryladmission/controller.go
@@ -4,11 +4,14 @@
 // A backend server that is offered more than it can run would queue requests in
 // order of arrival, or stop responding. Requests are queued here instead, nested
 // calls ahead of new work and each by rank. A request that cannot finish in time
-// is refused on arrival rather than after it has waited.
+// is refused on arrival rather than after it has waited. The expected wait allows for
+// the more important requests that will arrive meanwhile: under a surge, less important
+// work that is queued without regard to them is answered late.
 package beryladmission
 
 import (
 	"container/heap"
+	"math"
 	"time"
 )
 
@@ -48,7 +51,8 @@
 	serviceTimes       map[string]float64 // moving mean by kind, seconds
 	overallServiceTime float64            // moving mean over all kinds, seconds
 	nestedShare        float64            // moving mean of the fraction of slots that nested calls use
-	seq                uint64             // orders requests of equal rank by arrival
+	newWorkDemand      *demand
+	seq                uint64 // orders requests of equal rank by arrival
 }
 
 const (
@@ -58,13 +62,15 @@
 	maxQueuedPerSlot   = 40    // waiting requests per slot, for each queue; the expected wait normally limits the queue long before
 	minQueueCapacity   = 32    // waiting requests that each queue may always hold
 	newWorkShare       = 0.15  // fraction of the slots for new work while nested calls wait as well
+	arrivalDeviations  = 2.0   // standard deviations of the more important arrivals that the expected wait allows for
+	minRankShare       = 0.005 // fraction of the slots that the least important new work is assumed to get
 	lateRankPenalty    = 1_000 // added to the rank of new work that has missed its target latency
 )
 
 // New returns a controller for a backend server that runs up to limit requests
 // concurrently.
 func New[T any](limit int) *Controller[T] {
-	return &Controller[T]{limit: max(limit, 1), serviceTimes: map[string]float64{}}
+	return &Controller[T]{limit: max(limit, 1), serviceTimes: map[string]float64{}, newWorkDemand: newDemand()}
 }
 
 // SetLimit changes how many requests may run concurrently.
@@ -94,25 +100,33 @@
 }
 
 // ExpectedWait estimates how long a request that arrives now would wait.
-func (c *Controller[T]) ExpectedWait(r Request) time.Duration {
+func (c *Controller[T]) ExpectedWait(now time.Time, r Request) time.Duration {
 	if c.running < c.limit && c.noneWaiting() {
 		return 0
 	}
-	ahead, share := c.newWork, max(1-c.nestedShare, newWorkShare)
-	if r.Nested {
-		ahead, share = c.nested, 1
-		if len(c.newWork) > 0 {
-			share = 1 - newWorkShare
-		}
-	}
 	rank := effectiveRank(r)
+	limit := float64(c.limit)
+	ahead, slots := c.nested, limit
+	switch {
+	case !r.Nested:
+		ahead = c.newWork
+		slots = max(limit*max(1-c.nestedShare, newWorkShare)-c.newWorkDemand.above(now, rank), limit*minRankShare)
+	case len(c.newWork) > 0:
+		slots = limit * (1 - newWorkShare)
+	}
 	work := max(c.overallServiceTime, initialServiceTime/10)
 	for i := range ahead {
 		if ahead[i].rank <= rank {
 			work += c.serviceTimeOf(ahead[i].request.Kind)
 		}
 	}
-	return time.Duration(work / (float64(c.limit) * share) * float64(time.Second))
+	wait := work / slots
+	if !r.Nested {
+		// The number of more important requests that arrive during the wait varies like its
+		// square root.
+		wait += arrivalDeviations * math.Sqrt(c.newWorkDemand.above(now, rank)*wait*c.overallServiceTime) / slots
+	}
+	return time.Duration(wait * float64(time.Second))
 }
 
 func (c *Controller[T]) noneWaiting() bool { return len(c.newWork)+len(c.nested) == 0 }
@@ -123,10 +137,11 @@
 func (c *Controller[T]) Arrive(now time.Time, r Request, v T) (Decision, time.Duration) {
 	c.updateNestedShare()
 	if c.running < c.limit && c.noneWaiting() {
+		c.accept(now, r)
 		c.begin(r)
 		return Start, 0
 	}
-	wait := c.ExpectedWait(r)
+	wait := c.ExpectedWait(now, r)
 	available := r.TimeToDeadline
 	needed := c.serviceTimeOf(r.Kind)
 	// Refusing a nested call wastes the work done for its parent, so nested calls
@@ -145,11 +160,19 @@
 	if excess > 0 || len(*queue) >= max(minQueueCapacity, maxQueuedPerSlot*c.limit) {
 		return Refuse, max(excess, wait)
 	}
+	c.accept(now, r)
 	c.seq++
-	heap.Push(queue, &entry[T]{rank: effectiveRank(r), seq: c.seq, request: r, deadline: now.Add(r.TimeToDeadline), value: v})
+	heap.Push(queue, &entry[T]{rank: effectiveRank(r), seq: c.seq, request: r, target: now.Add(r.TimeToTarget), deadline: now.Add(r.TimeToDeadline), late: r.TimeToTarget <= 0, value: v})
 	return Wait, wait
 }
 
+// accept records a request that starts or waits.
+func (c *Controller[T]) accept(now time.Time, r Request) {
+	if !r.Nested {
+		c.newWorkDemand.add(now, effectiveRank(r), c.serviceTimeOf(r.Kind))
+	}
+}
+
 // effectiveRank puts new work that has missed its target latency behind all other
 // new work.
 func effectiveRank(r Request) int {
@@ -199,13 +222,28 @@
 	if c.noneWaiting() || c.running >= c.limit {
 		return v, false, false
 	}
-	e, _ := heap.Pop(c.nextQueue()).(*entry[T])
-	minTime := c.serviceTimeOf(e.request.Kind) / 2
-	if now.Add(time.Duration(minTime * float64(time.Second))).After(e.deadline) {
-		return e.value, true, true
+	q := c.nextQueue()
+	for {
+		e, _ := heap.Pop(q).(*entry[T])
+		serviceTime := time.Duration(c.serviceTimeOf(e.request.Kind) * float64(time.Second))
+		if now.Add(serviceTime / 2).After(e.deadline) {
+			return e.value, true, true
+		}
+		if !e.late && !e.request.Nested && len(*q) > 0 && now.Add(serviceTime).After(e.target) {
+			// It runs when no new work that can be in time is left, if that is likely to
+			// happen before its deadline.
+			e.late = true
+			e.rank += lateRankPenalty
+			late := Request{Rank: e.rank, Kind: e.request.Kind, TimeToTarget: 1}
+			if now.Add(c.ExpectedWait(now, late) + serviceTime).After(e.deadline) {
+				return e.value, true, true
+			}
+			heap.Push(q, e)
+			continue
+		}
+		c.begin(e.request)
+		return e.value, false, true
 	}
-	c.begin(e.request)
-	return e.value, false, true
 }
 
 // nextQueue returns the queue to serve next. Nested calls go first, but while both
--- a/core/beryladmission/queue.go
+++ b/core/beryladmission/queue.go
@@ -6,7 +6,9 @@
 	rank     int
 	seq      uint64
 	request  Request
+	target   time.Time
 	deadline time.Time
+	late     bool // the rank was lowered because the target latency cannot be met
 	value    T
 }
 
