Bound the heads that backend servers, instances and the store may send

Cause: the connection pool parsed responses with no limit on their head, and discarded bodies of other answers of any length. A backend server that sent bytes without end made the daemon use up to 2.1 GB for one request; the machines have 184 MB. A head between instances could decode to 1 GB of repeated fields.

Change: io/beryllimitedreader (moved out of the server for callers) limits the head of each response to 64 KB and the body of an answer to another request to 256 KB. The outcome is unknown with the reason "overlong", the connection is closed, and the instance is avoided like one that cannot be reached. The fields of a head between instances may have 512 KB decoded. A caller whose header is cut at the limit gets 431 also if the parser stumbled over the cut line.

--- a/io/berylconnpool/conn.go
+++ b/io/berylconnpool/conn.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"net"
 	"time"
+
+	"berylspan/io/beryllimitedreader"
 )
 
 // conn is a connection to the backend server.
 type conn struct {
 	nc          net.Conn
+	limiter     *beryllimitedreader.Reader // of response heads
 	br          *bufio.Reader
 	bw          *bufio.Writer
 	idleTimeout time.Duration // how long it may be idle before it is no longer used
@@ -19,7 +22,8 @@
 const bufferSize = 4 << 10 // bytes
 
 func newConn(nc net.Conn) *conn {
-	return &conn{nc: nc, br: bufio.NewReaderSize(nc, bufferSize), bw: bufio.NewWriterSize(nc, bufferSize), idleTimeout: defaultIdleTimeout}
+	limiter := &beryllimitedreader.Reader{R: nc, Remaining: beryllimitedreader.Unlimited}
+	return &conn{nc: nc, limiter: limiter, br: bufio.NewReaderSize(limiter, bufferSize), bw: bufio.NewWriterSize(nc, bufferSize), idleTimeout: defaultIdleTimeout}
 }
 
 func (c *conn) close() { _ = c.nc.Close() } // It may be closed already.
--- /dev/null
+++ b/io/berylconnpool/endless_test.go
@@ -0,0 +1,166 @@
+package berylconnpool
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"berylspan/core/berylattempt"
+	"berylspan/core/berylheadernames"
+	"berylspan/io/berylreply"
+
+	"github.com/stretchr/testify/require"
+)
+
+// startEndlessServer starts a server that answers the first request of each connection with
+// prefix and then filler, without end, and reports when the client closes the connection.
+func startEndlessServer(t *testing.T, prefix, filler string) (p *Pool, closed chan struct{}) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	closed = make(chan struct{}, 16)
+	block := []byte(strings.Repeat(filler, 1+(32<<10)/len(filler)))
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := c.Read(make([]byte, 4<<10)); err != nil {
+					return
+				}
+				_, err := io.WriteString(c, prefix)
+				for err == nil {
+					_, err = c.Write(block)
+				}
+				closed <- struct{}{}
+			}()
+		}
+	}()
+	p = New(ln.Addr().String(), berylheadernames.Default())
+	t.Cleanup(p.Close)
+	return p, closed
+}
+
+const (
+	okHead      = "HTTP/1.1 200 OK\r\nBeryl-Call: 1\r\nBeryl-Receipt: x\r\n"
+	chunkedHead = okHead + "Transfer-Encoding: chunked\r\n\r\n"
+	otherHead   = "HTTP/1.1 200 OK\r\nBeryl-Call: 2\r\nBeryl-Receipt: x\r\n"
+)
+
+// A backend server that sends bytes without end made the daemon use up to 2.1 GB for one
+// request, and the call returned seconds after its context had ended.
+func TestBytesWithoutEndAreBounded(t *testing.T) {
+	const (
+		timeout  = 500 * time.Millisecond
+		maxDelay = 100 * time.Millisecond // after the timeout
+		maxHeap  = 16 << 20               // bytes above idle, with all cases at once
+	)
+	cases := []struct {
+		name, prefix, filler string
+		outcome              berylattempt.Outcome
+		reason               string
+	}{
+		{"before the status line", "", "x", berylattempt.Unknown, berylreply.ReasonOverlong},
+		{"empty lines", "", "\r\n", berylattempt.Unknown, berylreply.ReasonMalformed},
+		{"status line", "HTTP/1.1 200 ", "x", berylattempt.Unknown, berylreply.ReasonOverlong},
+		{"header fields", "HTTP/1.1 200 OK\r\n", "X-Filler: a\r\n", berylattempt.Unknown, berylreply.ReasonOverlong},
+		{"one header field", "HTTP/1.1 200 OK\r\nX-Filler: ", "a", berylattempt.Unknown, berylreply.ReasonOverlong},
+		{"interim header", "HTTP/1.1 103 Early Hints\r\n", "Link: a\r\n", berylattempt.Unknown, berylreply.ReasonOverlong},
+		{"interim answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n", berylattempt.Unknown, berylreply.ReasonMalformed},
+		{"body of another answer", otherHead + "Content-Length: 9000000000000\r\n\r\n", "a", berylattempt.Unknown, berylreply.ReasonOverlong},
+		{"chunks of another answer", otherHead + "Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n", berylattempt.Unknown, berylreply.ReasonOverlong},
+		{"chunk extension", chunkedHead + "1;", "a", berylattempt.Unknown, berylreply.ReasonMalformed},
+		{"trailers", chunkedHead + "1\r\na\r\n0\r\n", "X-Filler: a\r\n", berylattempt.Unknown, berylreply.ReasonMalformed},
+		{"after the answer", okHead + "Content-Length: 2\r\n\r\nok", "a", berylattempt.Answered, ""},
+		{"body of a rejection", "HTTP/1.1 503 X\r\nBeryl-Not-Run: 1\r\nContent-Length: 9000000000000\r\n\r\n", "a", berylattempt.Rejected, berylreply.ReasonRejected},
+	}
+	type result struct {
+		reply  *berylreply.Reply
+		took   time.Duration
+		closed chan struct{}
+	}
+	results := make([]result, len(cases))
+	var calls sync.WaitGroup
+	runtime.GC()
+	idle := heapInUse()
+	stop, peak := make(chan struct{}), make(chan uint64)
+	go func() {
+		highest := idle
+		for {
+			select {
+			case <-stop:
+				peak <- highest
+				return
+			case <-time.After(5 * time.Millisecond):
+				highest = max(highest, heapInUse())
+			}
+		}
+	}()
+	for i, tc := range cases {
+		p, closed := startEndlessServer(t, tc.prefix, tc.filler)
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			start := time.Now()
+			reply := p.Send(ctx, &Request{Method: "GET", URI: "/", Host: "h", ID: "1", Header: http.Header{}}, func() {})
+			results[i] = result{reply, time.Since(start), closed}
+		})
+	}
+	calls.Wait()
+	close(stop)
+	require.Less(t, int64(<-peak)-int64(idle), int64(maxHeap), "heap above idle") //nolint:gosec // Far below the limit.
+	for i, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r := results[i]
+			require.Equal(t, tc.outcome, r.reply.Outcome)
+			require.Equal(t, tc.reason, r.reply.Reason)
+			require.Less(t, r.took, timeout+maxDelay)
+			select {
+			case <-r.closed:
+			case <-time.After(time.Second):
+				t.Fatal("the connection was not closed within 1 s")
+			}
+		})
+	}
+}
+
+// A body that answers the request may be as long as it likes. It is passed on without
+// being kept.
+func TestLongAnswerIsStreamed(t *testing.T) {
+	const length = 64 << 20
+	p, _ := startEndlessServer(t, okHead+"Content-Length: 67108864\r\n\r\n", "a")
+	runtime.GC()
+	idle := heapInUse()
+	reply := p.Send(context.Background(), &Request{Method: "GET", URI: "/", Host: "h", ID: "1", Header: http.Header{}}, func() {})
+	require.Equal(t, berylattempt.Answered, reply.Outcome)
+	highest, n, buf, r := idle, 0, make([]byte, 32<<10), reply.Reader()
+	for i := 0; ; i++ {
+		k, err := r.Read(buf)
+		n += k
+		if i%100 == 0 {
+			highest = max(highest, heapInUse())
+		}
+		if err != nil {
+			require.ErrorIs(t, err, io.EOF)
+			break
+		}
+	}
+	require.Equal(t, length, n)
+	require.Less(t, int64(highest)-int64(idle), int64(4<<20)) //nolint:gosec // Far below the limit.
+}
+
+func heapInUse() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -12,6 +12,7 @@
 	"berylspan/core/berylattempt"
 	"berylspan/core/berylhopheaders"
 	"berylspan/io/berylbody"
+	"berylspan/io/beryllimitedreader"
 	"berylspan/io/berylreply"
 )
 
@@ -32,8 +33,10 @@
 }
 
 const (
-	maxBufferedAnswer = 256 << 10 // bytes; longer answers are streamed
-	maxResponses      = 4         // responses that are read to find the answer to a request
+	maxBufferedAnswer  = 256 << 10 // bytes; longer answers are streamed
+	maxResponses       = 4         // responses that are read to find the answer to a request
+	maxResponseHead    = 64 << 10  // bytes of status line and header
+	maxDiscardedAnswer = 256 << 10 // bytes of the body of an answer to another request
 )
 
 // Send sends the request, at most once, and returns the result. If ctx is cancelled, the
@@ -69,15 +72,22 @@
 	}
 	resp, err := e.readResponse() //nolint:bodyclose // The body is read to its end, or the connection is closed.
 	if err != nil {
-		reason := berylreply.ReasonConnectionBroken
-		if errors.Is(err, errNoMatch) || strings.Contains(err.Error(), "malformed") {
-			reason = berylreply.ReasonMalformed
-		}
-		return e.fail(ctx, reason)
+		return e.fail(ctx, readFailure(err))
 	}
 	return e.newReply(ctx, resp)
 }
 
+// readFailure returns the reason that a failed read of the response is reported with.
+func readFailure(err error) string {
+	switch {
+	case errors.Is(err, beryllimitedreader.ErrLimit), errors.Is(err, errOverlong):
+		return berylreply.ReasonOverlong
+	case errors.Is(err, errNoMatch), strings.Contains(err.Error(), "malformed"):
+		return berylreply.ReasonMalformed
+	}
+	return berylreply.ReasonConnectionBroken
+}
+
 func (e *exchange) fail(ctx context.Context, reason string) *berylreply.Reply {
 	if ctx.Err() != nil {
 		reason = berylreply.ReasonCanceled
@@ -178,7 +188,10 @@
 	return w.Flush()
 }
 
-var errNoMatch = errors.New("no response has the id of the request") //nolint:gochecknoglobals // A sentinel.
+var (
+	errNoMatch  = errors.New("no response has the id of the request")            //nolint:gochecknoglobals // A sentinel.
+	errOverlong = errors.New("answer to another request exceeds its size limit") //nolint:gochecknoglobals // A sentinel.
+)
 
 // readResponse returns the response to the request. It skips interim responses and
 // answers to other requests, which are late or duplicated. An error response without an
@@ -186,7 +199,12 @@
 func (e *exchange) readResponse() (*http.Response, error) {
 	req := &http.Request{Method: e.request.Method}
 	for range maxResponses {
+		e.conn.limiter.Remaining = maxResponseHead
 		resp, err := http.ReadResponse(e.conn.br, req)
+		if err != nil && e.conn.limiter.Exceeded() {
+			err = beryllimitedreader.ErrLimit
+		}
+		e.conn.limiter.Remaining = beryllimitedreader.Unlimited
 		if err != nil {
 			return nil, err
 		}
@@ -201,7 +219,9 @@
 			_ = resp.Body.Close() // The body ends only with the connection.
 			return nil, errNoMatch
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if n, err := io.CopyN(io.Discard, resp.Body, maxDiscardedAnswer); n == maxDiscardedAnswer {
+			return nil, errOverlong
+		} else if !errors.Is(err, io.EOF) {
 			return nil, err
 		}
 		_ = resp.Body.Close() // The body was read to its end.
--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"berylspan/io/beryllimitedreader"
 	"berylspan/io/berylsocket"
 )
 
@@ -28,7 +29,7 @@
 type conn struct {
 	server  *Server
 	nc      net.Conn
-	limiter *limitedReader
+	limiter *beryllimitedreader.Reader
 	br      *bufio.Reader
 	bw      *bufio.Writer // valid only while an answer is written
 
@@ -40,30 +41,8 @@
 	wg                sync.WaitGroup
 }
 
-// limitedReader limits the number of bytes that are read for a request header.
-type limitedReader struct {
-	r         io.Reader
-	remaining int
-}
-
-var errHeaderTooLong = errors.New("request header too long") //nolint:gochecknoglobals // A sentinel.
-
-func (r *limitedReader) Read(p []byte) (int, error) {
-	if r.remaining <= 0 {
-		return 0, errHeaderTooLong
-	}
-	if len(p) > r.remaining {
-		p = p[:r.remaining]
-	}
-	n, err := r.r.Read(p)
-	r.remaining -= n
-	return n, err
-}
-
-const unlimited = int(^uint(0) >> 1)
-
 func newConn(server *Server, nc net.Conn) *conn {
-	c := &conn{server: server, nc: nc, limiter: &limitedReader{r: nc, remaining: unlimited}}
+	c := &conn{server: server, nc: nc, limiter: &beryllimitedreader.Reader{R: nc, Remaining: beryllimitedreader.Unlimited}}
 	c.br = bufio.NewReaderSize(c.limiter, readBufferSize)
 	return c
 }
@@ -151,9 +130,12 @@
 func (c *conn) readRequest(ctx context.Context, limits Limits, prevWritten chan struct{}) (chan struct{}, bool) {
 	written := make(chan struct{})
 	c.setReadTimeout(limits.HeaderTimeout)
-	c.limiter.remaining = limits.MaxHeaderBytes
+	c.limiter.Remaining = limits.MaxHeaderBytes
 	httpReq, err := http.ReadRequest(c.br)
-	c.limiter.remaining = unlimited
+	if err != nil && c.limiter.Exceeded() {
+		err = beryllimitedreader.ErrLimit
+	}
+	c.limiter.Remaining = beryllimitedreader.Unlimited
 	if err != nil {
 		status := errorStatus(err)
 		c.addPending()
@@ -213,7 +195,7 @@
 // if the connection is to be closed without an answer.
 func errorStatus(err error) int {
 	switch {
-	case errors.Is(err, errHeaderTooLong):
+	case errors.Is(err, beryllimitedreader.ErrLimit):
 		return http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusRequestTimeout
--- a/io/berylmesh/conn.go
+++ b/io/berylmesh/conn.go
@@ -19,19 +19,22 @@
 // is an HPACK block; the HPACK tables live as long as the connection. A body that is
 // streamed follows in chunks, each preceded by its length; an empty chunk ends it.
 type conn struct {
-	nc        net.Conn
-	br        *bufio.Reader
-	out       bytes.Buffer
-	enc       *hpack.Encoder
-	dec       *hpack.Decoder
-	onField   func(f hpack.HeaderField)
-	idleSince time.Time
+	nc         net.Conn
+	br         *bufio.Reader
+	out        bytes.Buffer
+	enc        *hpack.Encoder
+	dec        *hpack.Decoder
+	onField    func(f hpack.HeaderField)
+	fieldsLeft int // bytes that the fields of the current head may still have
+	idleSince  time.Time
 }
 
 const (
 	prefixSize     = 8          // bytes: 4 for the length of the head, 4 for that of the body
 	chunkedBody    = 0xffffffff // in place of the body length: the body follows in chunks
-	maxHeadSize    = 256 << 10  // bytes
+	maxHeadSize    = 256 << 10  // bytes, encoded
+	maxFieldsSize  = 512 << 10  // bytes of all fields of a head, decoded; an indexed field takes one byte encoded
+	fieldOverhead  = 32         // bytes that each decoded field counts in addition to its name and value
 	readBufferSize = 2 << 10    // bytes
 	hpackTableSize = 4 << 10    // bytes, for each direction
 )
@@ -41,7 +44,12 @@
 func newConn(nc net.Conn) *conn {
 	c := &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferSize)}
 	c.enc = hpack.NewEncoder(&c.out)
-	c.dec = hpack.NewDecoder(hpackTableSize, func(f hpack.HeaderField) { c.onField(f) })
+	c.dec = hpack.NewDecoder(hpackTableSize, func(f hpack.HeaderField) {
+		if c.fieldsLeft -= len(f.Name) + len(f.Value) + fieldOverhead; c.fieldsLeft >= 0 {
+			c.onField(f)
+		}
+	})
+	c.dec.SetMaxStringLength(maxHeadSize)
 	return c
 }
 
@@ -117,13 +125,16 @@
 	if _, err := io.ReadFull(c.br, block); err != nil {
 		return 0, err
 	}
-	c.onField = onField
+	c.onField, c.fieldsLeft = onField, maxFieldsSize
 	if _, err := c.dec.Write(block); err != nil {
 		return 0, err
 	}
 	if err := c.dec.Close(); err != nil {
 		return 0, err
 	}
+	if c.fieldsLeft < 0 {
+		return 0, errMalformed
+	}
 	if body == chunkedBody {
 		return -1, nil
 	}
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -181,7 +181,7 @@
 	case reply.Reason == berylreply.ReasonThrottled:
 		p.tracker.Throttled(now, to.ID, q.rule.Name)
 	case reply.Reason == berylreply.ReasonNoConnection, reply.Reason == berylreply.ReasonShuttingDown, reply.Reason == berylreply.ReasonWrongServer,
-		reply.Reason == berylreply.ReasonPeerSilent, reply.Reason == berylreply.ReasonRejected:
+		reply.Reason == berylreply.ReasonPeerSilent, reply.Reason == berylreply.ReasonRejected, reply.Reason == berylreply.ReasonOverlong:
 		p.tracker.Failed(now, to.ID)
 	}
 	return reply
--- a/io/berylreply/reply.go
+++ b/io/berylreply/reply.go
@@ -45,6 +45,7 @@
 	ReasonNoConnection     = "dial"      // no connection could be established
 	ReasonConnectionBroken = "broken"    // the connection broke
 	ReasonMalformed        = "malformed" // the response was invalid or incomplete
+	ReasonOverlong         = "overlong"  // the response exceeded the size limit of its head or had a long body that answers another request
 	ReasonRejected         = "shed"      // the backend server rejected it
 	ReasonCanceled         = "canceled"  // the sender cancelled it or its deadline passed
 	ReasonPeerSilent       = "silent"    // no gossip came from the instance any more
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -273,6 +273,9 @@
 		return nil, eris.Wrap(err, "pull")
 	}
 	defer func() { _ = resp.Body.Close() }() // Only read from.
+	if resp.StatusCode != http.StatusOK {
+		return nil, eris.Errorf("state of the instance at %s: status %s", addr, resp.Status)
+	}
 	var snap berylstorecache.Snapshot
 	if err := cbor.NewDecoder(io.LimitReader(resp.Body, mostState)).Decode(&snap); err != nil {
 		return nil, eris.Wrap(err, "pull")
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -68,6 +68,7 @@
 	s.set.Store(&set)
 	s.puller = &http.Client{Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: pullDial, Control: berylmesh.SetTCPUserTimeout}).DialContext, IdleConnTimeout: pullIdle,
+		MaxResponseHeaderBytes: maxHeadSize, DisableCompression: true,
 	}}
 	s.mesh = berylmesh.New(names)
 	s.view = berylstorecache.New(feed, log,
@@ -157,10 +158,11 @@
 	pullIdle      = 5 * time.Second
 	headerTimeout = 5 * time.Second
 	idleTimeout   = time.Minute
+	maxHeadSize   = 16 << 10 // bytes of the head of a request or response on the internal ports
 )
 
 func (s *Sidecar) serve(ln net.Listener, h http.Handler) {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadSize}
 	s.servers = append(s.servers, srv)
 	s.loops.Go(func() {
 		// Ends with Close; a listener that fails shows in the log of readiness.
--- a/io/beryltransport/transport.go
+++ b/io/beryltransport/transport.go
@@ -19,6 +19,7 @@
 	pingTimeout   = 500 * time.Millisecond
 	idleTimeout   = time.Minute
 
+	maxResponseHead   = 64 << 10  // bytes of status line and header
 	streamBufferBytes = 256 << 10 // received but not yet read
 	connBufferBytes   = 8 << 20
 )
@@ -61,6 +62,8 @@
 		TLSHandshakeTimeout: dialTimeout,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-		Protocols:           &http.Protocols{},
+
+		MaxResponseHeaderBytes: maxResponseHead,
+		Protocols:              &http.Protocols{},
 	}
 }
