Keep a panic in the handling of one input from ending the process

Cause: on the plain HTTP path nothing recovered.

A panic is logged with its stack and counted (berylspan_panics_total). The caller's connection is closed; between instances the outcome is unknown. Slots and counts are released, locks on these ways are held only with a deferred unlock, and after a panic in the list the whole list is read again. The control loops of the Connect mode are not covered; net/http recovers there for requests.

--- a/io/berylconnpool/pool.go
+++ b/io/berylconnpool/pool.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"berylspan/core/berylheadernames"
+	"berylspan/io/berylpanic"
 	"berylspan/io/berylsocket"
 )
 
@@ -22,6 +23,7 @@
 	addr  string
 	names berylheadernames.Names
 	dial  func(ctx context.Context, addr string) (net.Conn, error)
+	guard func(part string, f func()) bool
 
 	mu     sync.Mutex
 	idle   []*conn // the longest idle first
@@ -37,12 +39,20 @@
 	nonIdempotentMaxIdle = 700 * time.Millisecond // longest idle time of a connection used for a request that must not run twice
 )
 
+// Guard sets the function that runs the writing of a streamed request body and reports
+// whether it returned without a panic. After a panic the connection is closed.
+func Guard(f func(part string, f func()) bool) func(*Pool) { return func(p *Pool) { p.guard = f } }
+
 // New returns a pool for the backend server at addr.
-func New(addr string, names berylheadernames.Names) *Pool {
+func New(addr string, names berylheadernames.Names, opts ...func(*Pool)) *Pool {
 	d := &net.Dialer{Timeout: dialTimeout}
-	return &Pool{addr: addr, names: names, dial: func(ctx context.Context, addr string) (net.Conn, error) {
+	p := &Pool{addr: addr, names: names, guard: berylpanic.Unguarded, dial: func(ctx context.Context, addr string) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", addr)
 	}}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // get returns an idle connection that appears to be open, or a new one. A request that
--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -144,7 +144,13 @@
 		return w.Flush()
 	}
 	e.bodyWritten = make(chan error, 1)
-	go func() { e.bodyWritten <- e.writeBody(chunked) }() // Ends at the latest when the connection is closed.
+	go func() { // Ends at the latest when the connection is closed.
+		err := errPanicked
+		if !e.pool.guard("request body", func() { err = e.writeBody(chunked) }) {
+			e.conn.close()
+		}
+		e.bodyWritten <- err
+	}()
 	return nil
 }
 
@@ -190,6 +196,7 @@
 
 var (
 	errNoMatch  = errors.New("no response has the id of the request")            //nolint:gochecknoglobals // A sentinel.
+	errPanicked = errors.New("panic while the request body was written")         //nolint:gochecknoglobals // A sentinel.
 	errOverlong = errors.New("answer to another request exceeds its size limit") //nolint:gochecknoglobals // A sentinel.
 )
 
--- a/io/berylgossip/gossip.go
+++ b/io/berylgossip/gossip.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"berylspan/io/berylpanic"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 )
@@ -23,6 +25,7 @@
 	port        uint16
 	onHeartbeat func(host string, hb Heartbeat)
 	onData      func(host string, data []byte)
+	guard       func(part string, f func()) bool
 
 	mu    sync.Mutex
 	peers map[string]*Peer // by host
@@ -42,10 +45,18 @@
 // New returns a gossip on conn that sends to the given port of other instances. The
 // goroutine of Run calls onHeartbeat with every heartbeat that is not outdated and
 // onData with what SendData has sent.
-func New(conn *net.UDPConn, port uint16, onHeartbeat func(host string, hb Heartbeat), onData func(host string, data []byte)) *Gossip {
-	return &Gossip{conn: conn, port: port, onHeartbeat: onHeartbeat, onData: onData, peers: map[string]*Peer{}}
+func New(conn *net.UDPConn, port uint16, onHeartbeat func(host string, hb Heartbeat), onData func(host string, data []byte), opts ...func(*Gossip)) *Gossip {
+	g := &Gossip{conn: conn, port: port, onHeartbeat: onHeartbeat, onData: onData, guard: berylpanic.Unguarded, peers: map[string]*Peer{}}
+	for _, opt := range opts {
+		opt(g)
+	}
+	return g
 }
 
+// Guard sets the function that runs the handling of one datagram and reports whether it
+// returned without a panic.
+func Guard(f func(part string, f func()) bool) func(*Gossip) { return func(g *Gossip) { g.guard = f } }
+
 // Run receives messages until the socket is closed.
 func (g *Gossip) Run(ctx context.Context) {
 	buf := make([]byte, maxDatagramBytes)
@@ -57,16 +68,21 @@
 			}
 			continue // The error is about an earlier datagram that could not be delivered.
 		}
-		host := from.Addr().Unmap().String()
-		if n > 0 && buf[0] == kindData {
-			g.onData(host, buf[1:n])
-			continue
-		}
+		g.guard("datagram", func() { g.handle(from.Addr().Unmap().String(), buf[:n]) })
+	}
+}
+
+// handle handles one datagram. One that is malformed is not from an instance and ignored.
+func (g *Gossip) handle(host string, datagram []byte) {
+	if len(datagram) == 0 {
+		return
+	}
+	switch kind, data := datagram[0], datagram[1:]; kind {
+	case kindData:
+		g.onData(host, data)
+	case kindHeartbeat:
 		var hb Heartbeat
-		if n == 0 || buf[0] != kindHeartbeat || cbor.Unmarshal(buf[1:n], &hb) != nil {
-			continue // Malformed, so not from an instance.
-		}
-		if g.recordHeartbeat(host, hb) {
+		if cbor.Unmarshal(data, &hb) == nil && g.recordHeartbeat(host, hb) {
 			g.onHeartbeat(host, hb)
 		}
 	}
--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -82,6 +82,7 @@
 // serve reads and starts requests until the connection ends.
 func (c *conn) serve(parentCtx context.Context) {
 	ctx, cancel := context.WithCancel(parentCtx)
+	defer cancel()
 	prevWritten := make(chan struct{})
 	close(prevWritten)
 	for {
@@ -170,15 +171,19 @@
 		return written, false
 	}
 	c.wg.Go(func() {
-		if c.server.MustRunInOrder(r) {
-			<-prevWritten
-			if c.hasEnded() {
-				c.abort()
-				close(written)
-				return
+		a := &Answer{Abort: true} // unless Handle returns
+		c.server.guard(panicPart, func() {
+			if c.server.MustRunInOrder(r) {
+				<-prevWritten
+				if c.hasEnded() {
+					return
+				}
 			}
+			a = c.server.Handle(ctx, r)
+		})
+		if !c.server.guard(panicPart, func() { c.reply(ctx, written, prevWritten, a, closeAfter) }) {
+			c.fail()
 		}
-		c.reply(ctx, written, prevWritten, c.server.Handle(ctx, r), closeAfter)
 		if stream != nil {
 			stream.discardUnread()
 		}
@@ -250,6 +255,14 @@
 	_ = c.nc.Close() // It may be closed already.
 }
 
+// fail closes the connection after a panic.
+func (c *conn) fail() {
+	c.mu.Lock()
+	c.ended = true
+	c.mu.Unlock()
+	_ = c.nc.Close() // It may be closed already.
+}
+
 // reply waits until prevWritten is closed and writes the answer. It closes written when
 // the answer is written or the connection aborted.
 func (c *conn) reply(ctx context.Context, written, prevWritten chan struct{}, a *Answer, closeAfter bool) {
--- a/io/berylhttpserver/server.go
+++ b/io/berylhttpserver/server.go
@@ -14,6 +14,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"berylspan/io/berylpanic"
 )
 
 // Limits are the limits for the connections and requests of callers.
@@ -33,6 +35,7 @@
 	MustRunInOrder func(r *Request) bool
 	Limits         func() Limits
 
+	guard              func(part string, f func()) bool
 	ln                 net.Listener
 	writers            sync.Pool
 	mu                 sync.Mutex
@@ -41,9 +44,17 @@
 	wg                 sync.WaitGroup
 }
 
+// Guard sets the function that runs the handling of one connection or request and reports
+// whether it returned without a panic. After a panic the connection is closed.
+func Guard(f func(part string, f func()) bool) func(*Server) { return func(s *Server) { s.guard = f } }
+
 // New returns a server for ln. Run must be called to start it.
-func New(ln net.Listener, handle func(context.Context, *Request) *Answer, mustRunInOrder func(*Request) bool, limits func() Limits) *Server {
-	return &Server{Handle: handle, MustRunInOrder: mustRunInOrder, Limits: limits, ln: ln, conns: map[*conn]struct{}{}}
+func New(ln net.Listener, handle func(context.Context, *Request) *Answer, mustRunInOrder func(*Request) bool, limits func() Limits, opts ...func(*Server)) *Server {
+	s := &Server{Handle: handle, MustRunInOrder: mustRunInOrder, Limits: limits, guard: berylpanic.Unguarded, ln: ln, conns: map[*conn]struct{}{}}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // writer returns a buffered writer to w, from the pool if possible.
@@ -55,6 +66,8 @@
 	return bufio.NewWriterSize(w, writeBufferSize)
 }
 
+const panicPart = "connection of a caller" // in logs and metrics
+
 const acceptRetryDelay = 5 * time.Millisecond // after a failed accept, for example because of too many open files
 
 // Run accepts connections until the listener is closed.
@@ -77,7 +90,9 @@
 			c.disableKeepAlive()
 		}
 		s.wg.Go(func() {
-			c.serve(ctx)
+			if !s.guard(panicPart, func() { c.serve(ctx) }) {
+				c.fail()
+			}
 			s.mu.Lock()
 			delete(s.conns, c)
 			s.mu.Unlock()
--- a/io/berylmesh/mesh.go
+++ b/io/berylmesh/mesh.go
@@ -13,6 +13,7 @@
 	"berylspan/core/berylattempt"
 	"berylspan/core/berylheadernames"
 	"berylspan/io/berylbody"
+	"berylspan/io/berylpanic"
 	"berylspan/io/berylreply"
 	"berylspan/io/berylrequest"
 	"berylspan/io/berylsocket"
@@ -25,6 +26,7 @@
 type Mesh struct {
 	names  berylheadernames.Names
 	dialer *net.Dialer
+	guard  func(part string, f func()) bool
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, most recently used last
@@ -40,10 +42,18 @@
 	writeTimeout       = 30 * time.Second        // for a peer that reads slowly
 )
 
+// Guard sets the function that runs the handling of one connection from another instance
+// and reports whether it returned without a panic. After a panic the connection is closed.
+func Guard(f func(part string, f func()) bool) func(*Mesh) { return func(m *Mesh) { m.guard = f } }
+
 // New returns a mesh without connections. names holds the names of the headers that it
 // handles itself.
-func New(names berylheadernames.Names) *Mesh {
-	return &Mesh{names: names, idle: map[string][]*conn{}, dialer: &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: SetTCPUserTimeout}}
+func New(names berylheadernames.Names, opts ...func(*Mesh)) *Mesh {
+	m := &Mesh{names: names, idle: map[string][]*conn{}, guard: berylpanic.Unguarded, dialer: &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: SetTCPUserTimeout}}
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m
 }
 
 // SetTCPUserTimeout makes a connection fail when the peer does not acknowledge data
--- a/io/berylmesh/server.go
+++ b/io/berylmesh/server.go
@@ -28,6 +28,8 @@
 	acceptRetryDelay = 5 * time.Millisecond // after a failed accept, for example with too many open files
 )
 
+const panicPart = "connection of an instance" // in logs and metrics
+
 // NewServer returns a server that passes requests from ln to handle once Run is called.
 func (m *Mesh) NewServer(ln net.Listener, handle func(ctx context.Context, req *berylrequest.Request) *berylreply.Reply) *Server {
 	return &Server{mesh: m, ln: ln, handle: handle, conns: map[*conn]struct{}{}}
@@ -49,7 +51,7 @@
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
 		s.wg.Go(func() {
-			s.serveConn(ctx, c)
+			s.mesh.guard(panicPart, func() { s.serveConn(ctx, c) })
 			c.close()
 			s.mu.Lock()
 			delete(s.conns, c)
--- a/io/berylproxy/check.go
+++ b/io/berylproxy/check.go
@@ -120,10 +120,7 @@
 			outgoing.Rank = account.Priority*rankStride + min(q.rule.Priority, rankStride-1)
 		}
 	}
-	p.mu.Lock()
-	maxLeft := max(p.maxTimeLeft[q.rule.Name], timeLeft)
-	p.maxTimeLeft[q.rule.Name] = maxLeft
-	p.mu.Unlock()
+	maxLeft := p.recordTimeLeft(q.rule.Name, timeLeft)
 	if !outgoing.Nested && timeLeft < maxTimeout {
 		q.elapsed = maxLeft - timeLeft
 	}
@@ -135,17 +132,19 @@
 	q.outgoing = outgoing
 }
 
+// recordTimeLeft returns the longest time left that a request of the rule came with.
+func (p *Proxy) recordTimeLeft(rule string, timeLeft time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	longest := max(p.maxTimeLeft[rule], timeLeft)
+	p.maxTimeLeft[rule] = longest
+	return longest
+}
+
 // admit chooses the service of a request and applies the rate limit of its workspace.
 // It returns nil, or an answer if the request is over the limit.
 func (p *Proxy) admit(ctx context.Context, q *request, config *berylhttpconfig.Config) *berylhttpserver.Answer {
-	p.mu.Lock()
-	service := p.splitter(q.rule).Next(q.rule.Destinations)
-	q.outgoing.Service = service
-	if q.outgoing.Nested {
-		q.outgoing.Rank = p.CallRank(q.rule.Name)
-	}
-	q.outgoing.Importance = config.PrioritySteps(q.rule, q.account)
-	p.mu.Unlock()
+	p.chooseService(q, config)
 	if account := q.account; account != nil && account.Rate > 0 {
 		var retryAfter time.Duration
 		if q.tokenTaken, retryAfter = p.Quotas.Take(ctx, account); !q.tokenTaken {
@@ -155,6 +154,18 @@
 	return nil
 }
 
+// chooseService sets the service of a request, and the rank and importance that it has
+// there.
+func (p *Proxy) chooseService(q *request, config *berylhttpconfig.Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q.outgoing.Service = p.splitter(q.rule).Next(q.rule.Destinations)
+	if q.outgoing.Nested {
+		q.outgoing.Rank = p.CallRank(q.rule.Name)
+	}
+	q.outgoing.Importance = config.PrioritySteps(q.rule, q.account)
+}
+
 // retryDelay returns the Retry-After time of a request that was refused because of
 // overload.
 func retryDelay(q *request) time.Duration {
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -40,9 +40,7 @@
 	}
 	ctx, cancel := context.WithDeadline(parent, q.outgoing.Deadline)
 	st := &attemptState{tried: map[string]bool{}}
-	p.mu.Lock()
-	p.retryBudget(q.outgoing.Service).RecordRequest()
-	p.mu.Unlock()
+	p.recordForBudget(q.outgoing.Service)
 	for q.attempts < maxInstancesTried && ctx.Err() == nil {
 		to, ok := p.chooseInstance(q, st)
 		if !ok {
@@ -114,6 +112,12 @@
 	return p.retryBudget(q.outgoing.Service).Take()
 }
 
+func (p *Proxy) recordForBudget(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retryBudget(service).RecordRequest()
+}
+
 func (p *Proxy) retryBudget(service string) *berylretries.Budget {
 	budget := p.retryBudgets[service]
 	if budget == nil {
@@ -158,33 +162,41 @@
 // attempt sends the request to one instance and records the outcome.
 func (p *Proxy) attempt(ctx context.Context, q *request, to berylregistration.Registration) *berylreply.Reply {
 	host := to.Host()
-	now := time.Now()
-	p.mu.Lock()
-	p.tracker.Sent(now, to.ID)
-	p.mu.Unlock()
-	var reply *berylreply.Reply
+	p.recordSent(to.ID)
+	reply := berylreply.NewFailure(berylattempt.Unknown, berylreply.ReasonPanic) // unless the attempt returns
+	defer func() { p.recordAttempt(q, to.ID, reply) }()
 	if host == p.Host {
 		reply = p.RunLocal(ctx, q.outgoing)
 	} else {
 		reply = p.sendToPeer(ctx, q, host)
 	}
-	now = time.Now()
+	return reply
+}
+
+func (p *Proxy) recordSent(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tracker.Ended(now, to.ID)
+	p.tracker.Sent(time.Now(), id)
+}
+
+// recordAttempt records the outcome of an attempt at the backend server with the given ID.
+func (p *Proxy) recordAttempt(q *request, id string, reply *berylreply.Reply) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tracker.Ended(now, id)
 	if reply.HasLoad {
-		p.tracker.LoadReported(now, to.ID, q.rule.Name, reply.Busy, reply.Limit, reply.MeanServiceTime.Seconds())
+		p.tracker.LoadReported(now, id, q.rule.Name, reply.Busy, reply.Limit, reply.MeanServiceTime.Seconds())
 	}
 	switch {
 	case reply.Outcome == berylattempt.Answered:
-		p.tracker.Succeeded(now, to.ID)
+		p.tracker.Succeeded(now, id)
 	case reply.Reason == berylreply.ReasonThrottled:
-		p.tracker.Throttled(now, to.ID, q.rule.Name)
+		p.tracker.Throttled(now, id, q.rule.Name)
 	case reply.Reason == berylreply.ReasonNoConnection, reply.Reason == berylreply.ReasonShuttingDown, reply.Reason == berylreply.ReasonWrongServer,
 		reply.Reason == berylreply.ReasonPeerSilent, reply.Reason == berylreply.ReasonRejected, reply.Reason == berylreply.ReasonOverlong:
-		p.tracker.Failed(now, to.ID)
+		p.tracker.Failed(now, id)
 	}
-	return reply
 }
 
 // sendToPeer sends the request to another instance. An idempotent request is cancelled
--- a/io/berylratelimiter/tokencache.go
+++ b/io/berylratelimiter/tokencache.go
@@ -37,9 +37,25 @@
 // Take takes a token for one request. If there is none, it returns how long until one
 // may be available.
 func (l *RateLimiter) Take(ctx context.Context, a *berylaccount.Account) (bool, time.Duration) {
+	c, replied, ok, wait := l.takeCached(a)
+	if replied == nil {
+		return ok, wait
+	}
+	ok, wait = l.awaitReply(ctx, c, replied)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.waitingCount--
+	return ok, wait
+}
+
+// takeCached takes a token if there is one, or returns how long until one may be available.
+// If the lender has to be asked first, it returns the channel that is closed with its reply;
+// the request then counts as waiting.
+func (l *RateLimiter) takeCached(a *berylaccount.Account) (c *tokenCache, replied chan struct{}, ok bool, wait time.Duration) {
 	now := time.Now()
 	l.mu.Lock()
-	c := l.cache(now, a)
+	defer l.mu.Unlock()
+	c = l.cache(now, a)
 	c.fallback.RecordRequest(now)
 	if !now.Before(c.expiresAt) {
 		c.tokens = 0
@@ -47,23 +63,15 @@
 	if c.tokens > 0 {
 		c.tokens--
 		l.prefetchIfLow(now, c)
-		l.mu.Unlock()
-		return true, 0
+		return c, nil, true, 0
 	}
 	if now.Before(c.deniedUntil) {
-		wait := c.deniedUntil.Sub(now)
-		l.mu.Unlock()
-		return false, wait
+		return c, nil, false, c.deniedUntil.Sub(now)
 	}
-	replied := c.replied // requestTokens may get a reply at once and replace it.
+	replied = c.replied // requestTokens may get a reply at once and replace it.
 	c.waitingCount++
 	l.requestTokens(now, c, max(c.waitingCount, l.prefetchTokens(now, c)))
-	l.mu.Unlock()
-	ok, wait := l.awaitReply(ctx, c, replied)
-	l.mu.Lock()
-	c.waitingCount--
-	l.mu.Unlock()
-	return ok, wait
+	return c, replied, false, 0
 }
 
 // awaitReply waits for the lender's reply and takes a token. If other requests have
@@ -80,26 +88,35 @@
 		case <-timer.C:
 		case <-ctx.Done():
 		}
-		now := time.Now()
-		l.mu.Lock()
-		switch {
-		case c.tokens > 0 && now.Before(c.expiresAt):
-			c.tokens--
-			l.prefetchIfLow(now, c)
-			l.mu.Unlock()
-			return true, 0
-		case now.Before(c.deniedUntil):
-			wait := c.deniedUntil.Sub(now)
-			l.mu.Unlock()
-			return false, wait
-		case !gotReply:
-			defer l.mu.Unlock()
-			return c.fallback.Take(now)
+		next, ok, wait := l.takeReplied(c, gotReply)
+		if next == nil {
+			return ok, wait
 		}
-		replied = c.replied
-		l.requestTokens(now, c, max(c.waitingCount, l.prefetchTokens(now, c)))
-		l.mu.Unlock()
+		replied = next
+	}
+}
+
+// takeReplied takes a token after a reply of the lender, or from the own share of the rate
+// if none came. If other requests have taken all tokens of the reply, it requests more and
+// returns the channel that is closed with the next reply.
+func (l *RateLimiter) takeReplied(c *tokenCache, gotReply bool) (replied chan struct{}, ok bool, wait time.Duration) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case c.tokens > 0 && now.Before(c.expiresAt):
+		c.tokens--
+		l.prefetchIfLow(now, c)
+		return nil, true, 0
+	case now.Before(c.deniedUntil):
+		return nil, false, c.deniedUntil.Sub(now)
+	case !gotReply:
+		ok, wait = c.fallback.Take(now)
+		return nil, ok, wait
 	}
+	replied = c.replied
+	l.requestTokens(now, c, max(c.waitingCount, l.prefetchTokens(now, c)))
+	return replied, false, 0
 }
 
 // prefetchIfLow requests tokens ahead when less than half of the prefetch is left.
--- a/io/berylreply/reply.go
+++ b/io/berylreply/reply.go
@@ -48,6 +48,7 @@
 	ReasonOverlong         = "overlong"  // the response exceeded the size limit of its head or had a long body that answers another request
 	ReasonRejected         = "shed"      // the backend server rejected it
 	ReasonCanceled         = "canceled"  // the sender cancelled it or its deadline passed
+	ReasonPanic            = "panic"     // the daemon failed while it handled the request
 	ReasonPeerSilent       = "silent"    // no gossip came from the instance any more
 )
 
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -17,6 +17,7 @@
 	"berylspan/core/berylinflight"
 	"berylspan/core/berylregistration"
 	"berylspan/io/berylconnpool"
+	"berylspan/io/berylpanic"
 	"berylspan/io/berylreply"
 	"berylspan/io/berylrequest"
 )
@@ -26,6 +27,7 @@
 	names        berylheadernames.Names
 	listEntry    func() (berylregistration.Registration, bool) // entry of the backend server in the published list, false while unknown
 	onRequestEnd func(req *berylrequest.Request, queueTime time.Duration, reply *berylreply.Reply)
+	guard        func(part string, f func()) bool
 
 	mu             sync.Mutex
 	pool           *berylconnpool.Pool
@@ -59,13 +61,17 @@
 	return func(r *Runner) { r.onRequestEnd = f }
 }
 
+// Guard sets the function that runs what the runner starts in further goroutines and reports
+// whether it returned without a panic.
+func Guard(f func(part string, f func()) bool) func(*Runner) { return func(r *Runner) { r.guard = f } }
+
 // New returns a runner for the backend server at addr. listEntry returns its entry in
 // the published list, false while that is unknown.
 func New(addr string, names berylheadernames.Names, listEntry func() (berylregistration.Registration, bool), opts ...func(*Runner)) *Runner {
 	r := &Runner{
 		names: names, listEntry: listEntry, addr: addr,
 		onRequestEnd: func(*berylrequest.Request, time.Duration, *berylreply.Reply) {},
-		pool:         berylconnpool.New(addr, names),
+		guard:        berylpanic.Unguarded,
 		admission:    beryladmission.New[*waiter](initialLimit),
 		callGraph:    berylcallgraph.New(),
 		limiter:      berylinflight.New(),
@@ -75,9 +81,14 @@
 	for _, opt := range opts {
 		opt(r)
 	}
+	r.pool = r.newPool(addr)
 	return r
 }
 
+func (r *Runner) newPool(addr string) *berylconnpool.Pool {
+	return berylconnpool.New(addr, r.names, berylconnpool.Guard(r.guard))
+}
+
 // SetAddr changes the address of the backend server.
 func (r *Runner) SetAddr(addr string) {
 	r.mu.Lock()
@@ -86,7 +97,7 @@
 		return
 	}
 	r.pool.Close()
-	r.addr, r.pool = addr, berylconnpool.New(addr, r.names)
+	r.addr, r.pool = addr, r.newPool(addr)
 }
 
 // RefuseNew makes the runner refuse all further requests because the instance is
@@ -174,10 +185,7 @@
 // is refused.
 func (r *Runner) acquireSlot(ctx context.Context, req beryladmission.Request) *berylreply.Reply {
 	w := &waiter{ready: make(chan struct{})}
-	r.mu.Lock()
-	now := time.Now()
-	decision, retryAfter := r.admission.Arrive(now, req, w)
-	r.mu.Unlock()
+	decision, retryAfter := r.arrive(req, w)
 	switch decision {
 	case beryladmission.Start:
 		return nil
@@ -197,10 +205,7 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	r.mu.Lock()
-	removed := r.admission.Remove(func(other *waiter) bool { return other == w })
-	r.mu.Unlock()
-	if !removed {
+	if !r.removeWaiter(w) {
 		<-w.ready
 		if !w.expired {
 			r.releaseSlot(req, 0, false)
@@ -209,6 +214,19 @@
 	return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonExpired)
 }
 
+func (r *Runner) arrive(req beryladmission.Request, w *waiter) (beryladmission.Decision, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.admission.Arrive(time.Now(), req, w)
+}
+
+// removeWaiter takes a request out of the queue and reports whether it was there.
+func (r *Runner) removeWaiter(w *waiter) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.admission.Remove(func(other *waiter) bool { return other == w })
+}
+
 // releaseSlot frees a slot and starts waiting requests.
 func (r *Runner) releaseSlot(req beryladmission.Request, took time.Duration, ran bool) {
 	r.mu.Lock()
@@ -226,29 +244,23 @@
 
 func (r *Runner) send(ctx context.Context, req *berylrequest.Request, admissionRequest beryladmission.Request) *berylreply.Reply {
 	start := time.Now()
-	r.mu.Lock()
-	pool := r.pool
-	r.callGraph.RequestStarted(start, req.Rule)
-	if !req.Nested {
-		r.limiter.Begin(start, req.Rule, req.Importance, req.TargetTime.Sub(start))
-	}
-	r.running[req.Rule]++
-	r.ranks[req.Rule] = req.Rank
-	r.mu.Unlock()
+	onDone := sync.OnceFunc(func() {
+		r.recordDone(req.Rule)
+		r.releaseSlot(admissionRequest, time.Since(start), ctx.Err() == nil)
+	})
+	returned := false
+	defer func() {
+		if !returned { // A panic must not keep the slot.
+			onDone()
+		}
+	}()
+	pool := r.recordStart(start, req)
 	h := req.Header.Clone()
 	h.Set(r.names.TimeLeft, strconv.FormatInt(max(1, req.Deadline.Sub(start).Milliseconds()), 10))
 	h.Set(r.names.RequestID, req.ID)
 	setOrDelete(h, r.names.CallerService, req.Caller)
 	setOrDelete(h, r.names.Workspace, req.Workspace)
 	setOrDelete(h, r.names.TargetServer, req.ServerID)
-	onDone := func() {
-		now := time.Now()
-		r.mu.Lock()
-		r.callGraph.RequestEnded(now, req.Rule)
-		r.running[req.Rule]--
-		r.mu.Unlock()
-		r.releaseSlot(admissionRequest, now.Sub(start), ctx.Err() == nil)
-	}
 	reply := pool.Send(ctx, &berylconnpool.Request{
 		Method: req.Method, URI: req.URI, Host: req.Host, ID: req.ID, Header: h,
 		Body: req.Body, Stream: req.Stream, Length: req.Length, NonIdempotent: !req.Idempotent,
@@ -259,9 +271,31 @@
 	if reply.Header != nil {
 		r.recordServerLoad(reply.Header.Get(r.names.ServerLoad))
 	}
+	returned = true
 	return reply
 }
 
+// recordStart records that a request starts and returns the pool to send it with.
+func (r *Runner) recordStart(now time.Time, req *berylrequest.Request) *berylconnpool.Pool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.callGraph.RequestStarted(now, req.Rule)
+	if !req.Nested {
+		r.limiter.Begin(now, req.Rule, req.Importance, req.TargetTime.Sub(now))
+	}
+	r.running[req.Rule]++
+	r.ranks[req.Rule] = req.Rank
+	return r.pool
+}
+
+// recordDone records that the backend server has finished with a request.
+func (r *Runner) recordDone(rule string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.callGraph.RequestEnded(time.Now(), rule)
+	r.running[rule]--
+}
+
 func setOrDelete(h http.Header, name, value string) {
 	if value == "" {
 		h.Del(name)
--- a/io/berylrunner/throttle.go
+++ b/io/berylrunner/throttle.go
@@ -14,16 +14,16 @@
 // CallStarted records a nested call that the backend server made.
 func (r *Runner) CallStarted(rule string) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.callGraph.CallMade(time.Now(), rule)
-	r.mu.Unlock()
 }
 
 // CallEnded records how long a nested call of the backend server took, and how much of
 // that it waited in queues.
 func (r *Runner) CallEnded(took, waited time.Duration) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.limiter.RecordCall(took, waited)
-	r.mu.Unlock()
 }
 
 // CallRank returns the rank of a nested call: the rank of the most important rule that
@@ -57,6 +57,6 @@
 	now := time.Now()
 	bad := now.After(req.TargetTime) || (ctx.Err() == nil && (reply.Outcome != berylattempt.Answered || reply.Status >= http.StatusInternalServerError))
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.limiter.End(now, req.Rule, bad)
-	r.mu.Unlock()
 }
--- a/io/berylsidecar/meter.go
+++ b/io/berylsidecar/meter.go
@@ -16,6 +16,7 @@
 	ends     *prometheus.CounterVec
 	works    *prometheus.CounterVec
 	waits    *prometheus.HistogramVec
+	panics   *prometheus.CounterVec
 }
 
 const namespace = "berylspan"
@@ -39,12 +40,17 @@
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 13),
 		}, []string{"rule"}),
 	}
-	m.reg.MustRegister(m.requests, m.ends, m.works, m.waits)
+	m.panics = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "panics_total", Help: "Panics in the handling of one input, by part of the daemon.",
+	}, []string{"part"})
+	m.reg.MustRegister(m.requests, m.ends, m.works, m.waits, m.panics)
 	return m
 }
 
 func (m *meter) handler() http.Handler { return promhttp.HandlerFor(m.reg, promhttp.HandlerOpts{}) }
 
+func (m *meter) panicked(part string) { m.panics.WithLabelValues(part).Inc() }
+
 func (m *meter) request(workspace, rule string, status int, reason string, took time.Duration) {
 	m.requests.WithLabelValues(workspace, rule).Observe(took.Seconds())
 	m.ends.WithLabelValues(rule, strconv.Itoa(status), reason).Inc()
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -45,9 +45,11 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			s.look()
-			s.mesh.EvictIdle()
-			s.say(false)
+			s.guard.Run("heartbeat", func() {
+				s.look()
+				s.mesh.EvictIdle()
+				s.say(false)
+			})
 		}
 	}
 }
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"berylspan/core/berylattempt"
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylhttpconfig"
 	"berylspan/core/berylramp"
@@ -19,6 +20,7 @@
 	"berylspan/io/berylgossip"
 	"berylspan/io/berylhttpserver"
 	"berylspan/io/berylmesh"
+	"berylspan/io/berylpanic"
 	"berylspan/io/berylproxy"
 	"berylspan/io/berylratelimiter"
 	"berylspan/io/berylreply"
@@ -51,6 +53,7 @@
 	face  *berylhttpserver.Server
 	work  *berylmesh.Server
 	meter *meter
+	guard *berylpanic.Guard
 
 	udp     *net.UDPConn
 	puller  *http.Client
@@ -70,8 +73,10 @@
 		DialContext: (&net.Dialer{Timeout: pullDial, Control: berylmesh.SetTCPUserTimeout}).DialContext, IdleConnTimeout: pullIdle,
 		MaxResponseHeaderBytes: maxHeadSize, DisableCompression: true,
 	}}
-	s.mesh = berylmesh.New(names)
+	s.guard = berylpanic.New(log, berylpanic.OnPanic(s.meter.panicked))
+	s.mesh = berylmesh.New(names, berylmesh.Guard(s.guard.Run))
 	s.view = berylstorecache.New(feed, log,
+		berylstorecache.Guard(s.guard.Run),
 		berylstorecache.Fetch(s.pull),
 		berylstorecache.Rank(s.place),
 		berylstorecache.OnChange(s.changed))
@@ -80,7 +85,7 @@
 		Names: names, Host: set.Host, Zone: set.Zone, Port: set.Work,
 		Service: func() string { return s.set.Load().Service },
 		State:   s.view.State, StateAge: s.view.Age,
-		RunLocal:    func(ctx context.Context, w *berylrequest.Request) *berylreply.Reply { return s.beside.Run(ctx, w) },
+		RunLocal:    s.run,
 		SendRemote:  s.mesh.Send,
 		CallStarted: func(rule string) { s.beside.CallStarted(rule) },
 		CallEnded:   func(took, waited time.Duration) { s.beside.CallEnded(took, waited) },
@@ -89,10 +94,18 @@
 		Log:         log,
 		Observe:     s.meter.request,
 	})
-	s.beside = berylrunner.New(set.Backend, names, s.own, berylrunner.OnRequestEnd(s.seen))
+	s.beside = berylrunner.New(set.Backend, names, s.own, berylrunner.OnRequestEnd(s.seen), berylrunner.Guard(s.guard.Run))
 	return s
 }
 
+// run runs a request on the backend server beside. After a panic it is unknown whether the
+// request ran.
+func (s *Sidecar) run(ctx context.Context, w *berylrequest.Request) *berylreply.Reply {
+	reply := berylreply.NewFailure(berylattempt.Unknown, berylreply.ReasonPanic)
+	s.guard.Run("work", func() { reply = s.beside.Run(ctx, w) })
+	return reply
+}
+
 // own returns the list's entry of the backend server beside. Each request takes a
 // connection, so it runs no more at once than it accepts connections.
 func (s *Sidecar) own() (berylregistration.Registration, bool) {
@@ -139,14 +152,14 @@
 		return eris.New("no datagram socket")
 	}
 	s.udp = udp
-	s.gossip = berylgossip.New(udp, port(set.Port), s.hear(run), s.hearQuota)
-	s.face = berylhttpserver.New(callers, s.enter.Serve, s.enter.MustRunInOrder, s.limits)
+	s.gossip = berylgossip.New(udp, port(set.Port), s.hear(run), s.hearQuota, berylgossip.Guard(s.guard.Run))
+	s.face = berylhttpserver.New(callers, s.enter.Serve, s.enter.MustRunInOrder, s.limits, berylhttpserver.Guard(s.guard.Run))
 	s.loops.Go(func() { s.gossip.Run(run) })
 	s.loops.Go(func() { s.view.Run(run) })
 	s.loops.Go(func() { s.beat(run) })
 	s.serve(peers, s.handler())
 	s.serve(ready, http.HandlerFunc(s.readiness))
-	s.work = s.mesh.NewServer(work, s.beside.Run)
+	s.work = s.mesh.NewServer(work, s.run)
 	s.loops.Go(func() { s.work.Run(run) })
 	s.loops.Go(func() { s.face.Run(run) })
 	s.log.Info().Str("instance", set.Name).Str("zone", set.Zone).Str("service", set.Service).Str("callers", set.Callers).Msg("started")
--- a/io/berylstorecache/peers.go
+++ b/io/berylstorecache/peers.go
@@ -20,9 +20,7 @@
 			snapshot.RawConfig = s.RawConfig
 		}
 	}
-	c.mu.Lock()
-	updated, removedIDs, ok := c.changes.DiffSince(known.ChangeRevision, known.Digest, s.Servers)
-	c.mu.Unlock()
+	updated, removedIDs, ok := c.changesSince(known, s)
 	if ok && known.ChangeRevision > 0 {
 		snapshot.BaseRevision, snapshot.Servers, snapshot.RemovedIDs = known.ChangeRevision, updated, removedIDs
 	} else {
@@ -39,6 +37,14 @@
 	return snapshot
 }
 
+// changesSince returns how the server list of s differs from the known one, false if the
+// changes since then are not recorded.
+func (c *StoreCache) changesSince(known KnownVersions, s *State) (updated []berylregistration.Registration, removedIDs []string, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changes.DiffSince(known.ChangeRevision, known.Digest, s.Servers)
+}
+
 // HandlePeerState handles the state that another instance announced and fetches it if it
 // is newer. age is the time since the store was last known to hold that state.
 func (c *StoreCache) HandlePeerState(ctx context.Context, addr string, configVersion, changeRevision, revision int64, age time.Duration) {
@@ -51,10 +57,10 @@
 	// Fails only after Run has ended.
 	_ = c.loop.Post(ctx, func() {
 		if newer {
-			c.fetchFrom(ctx, addr)
+			c.guarded(func() { c.fetchFrom(ctx, addr) })
 			return
 		}
-		c.confirm(changeRevision, revision, confirmedAt)
+		c.guarded(func() { c.confirm(changeRevision, revision, confirmedAt) })
 	})
 }
 
@@ -86,9 +92,13 @@
 	go func() { // Ends within fetchTimeout.
 		fetchCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
-		snapshot, err := c.fetch(fetchCtx, addr, known)
+		var snapshot *Snapshot
+		var err error
+		if !c.guard(panicPart, func() { snapshot, err = c.fetch(fetchCtx, addr, known) }) {
+			err = errPanicked
+		}
 		// Fails only after Run has ended.
-		_ = c.loop.Post(ctx, func() { c.handleSnapshot(addr, known, snapshot, err) })
+		_ = c.loop.Post(ctx, func() { c.guarded(func() { c.handleSnapshot(addr, known, snapshot, err) }) })
 	}()
 }
 
--- a/io/berylstorecache/storecache.go
+++ b/io/berylstorecache/storecache.go
@@ -18,6 +18,7 @@
 	"berylspan/core/berylregistration"
 	"berylspan/io/berylclock"
 	"berylspan/io/berylloop"
+	"berylspan/io/berylpanic"
 
 	"github.com/rs/zerolog"
 )
@@ -31,6 +32,7 @@
 	onChange func(from string)
 	log      zerolog.Logger
 	clock    berylclock.Clock
+	guard    func(part string, f func()) bool
 	loop     *berylloop.Loop
 	state    atomic.Pointer[State]
 	reads    atomic.Int64 // of the store
@@ -105,9 +107,15 @@
 // Clock sets the clock.
 func Clock(clock berylclock.Clock) func(*StoreCache) { return func(c *StoreCache) { c.clock = clock } }
 
+// Guard sets the function that runs the handling of one read or snapshot and reports whether
+// it returned without a panic. After a panic the whole list is read again.
+func Guard(f func(part string, f func()) bool) func(*StoreCache) {
+	return func(c *StoreCache) { c.guard = f }
+}
+
 // New returns an empty cache. It reads nothing before Run.
 func New(source Source, log zerolog.Logger, opts ...func(*StoreCache)) *StoreCache {
-	c := &StoreCache{source: source, log: log, clock: berylclock.BootClock, loop: berylloop.New(), rank: func() int { return 0 }, onChange: func(string) {}, pendingRemovals: map[string]time.Time{}, changes: berylhistory.New()}
+	c := &StoreCache{source: source, log: log, clock: berylclock.BootClock, guard: berylpanic.Unguarded, loop: berylloop.New(), rank: func() int { return 0 }, onChange: func(string) {}, pendingRemovals: map[string]time.Time{}, changes: berylhistory.New()}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -127,7 +135,20 @@
 // Run keeps the cache up to date until ctx ends.
 func (c *StoreCache) Run(ctx context.Context) {
 	c.readIfDue(ctx)
-	c.loop.Run(ctx, loopInterval, func() { c.readIfDue(ctx) })
+	c.loop.Run(ctx, loopInterval, func() { c.guarded(func() { c.readIfDue(ctx) }) })
+}
+
+const panicPart = "published lists" // in logs and metrics
+
+var errPanicked = errors.New("panic while the answer was read") //nolint:gochecknoglobals // A sentinel.
+
+// guarded runs a function of the loop. The state is replaced as a whole, so that a panic
+// leaves the previous one. What the loop knows of reads is reset.
+func (c *StoreCache) guarded(f func()) {
+	if !c.guard(panicPart, f) {
+		c.reading, c.fetching = false, false
+		c.historyLost, c.needFullList = true, true
+	}
 }
 
 // readIfDue removes the servers whose removal is due and starts a read of the store if
@@ -163,13 +184,18 @@
 	defer cancel()
 	var result *ReadResult
 	var err error
-	if full {
-		result, err = c.source.ReadAll(readCtx)
-	} else {
-		result, err = c.source.WaitForChanges(readCtx, after, maxWatchTime)
+	returned := c.guard(panicPart, func() {
+		if full {
+			result, err = c.source.ReadAll(readCtx)
+		} else {
+			result, err = c.source.WaitForChanges(readCtx, after, maxWatchTime)
+		}
+	})
+	if !returned {
+		err = errPanicked
 	}
 	// Fails only after Run has ended.
-	_ = c.loop.Post(ctx, func() { c.handleRead(result, err) })
+	_ = c.loop.Post(ctx, func() { c.guarded(func() { c.handleRead(result, err) }) })
 }
 
 func (c *StoreCache) handleRead(result *ReadResult, err error) {
@@ -274,13 +300,17 @@
 // setState replaces old by s, whose indexes are built, and records the changes.
 func (c *StoreCache) setState(old, s *State) {
 	if s.ChangeRevision != old.ChangeRevision {
-		c.mu.Lock()
-		c.changes.Record(s.ChangeRevision, s.Digest, old.Servers, s.Servers)
-		c.mu.Unlock()
+		c.recordChange(old, s)
 	}
 	c.state.Store(s)
 }
 
+func (c *StoreCache) recordChange(old, s *State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changes.Record(s.ChangeRevision, s.Digest, old.Servers, s.Servers)
+}
+
 // removeServer removes a server and reports whether it did. During an outage of the
 // store, servers are removed that are about to come back. After one, removals are
 // therefore delayed.
