Tell truly what became of a streamed request between instances

Change: unsent only if not even the head was written whole. The body is sent while the reply is read; the instance that refuses closes its writing side and discards up to 4 MB or 500 ms of the rest. The deadline ends with the body. A connection is used again only after a body that was sent whole.

--- a/io/berylmesh/conn.go
+++ b/io/berylmesh/conn.go
@@ -36,7 +36,9 @@
 	maxFieldsSize  = 512 << 10  // bytes of all fields of a head, decoded; an indexed field takes one byte encoded
 	fieldOverhead  = 32         // bytes that each decoded field counts in addition to its name and value
 	readBufferSize = 2 << 10    // bytes
-	hpackTableSize = 4 << 10    // bytes, for each direction
+	lingerTime     = 500 * time.Millisecond
+	lingerBytes    = 4 << 20 // of a request body that is not needed
+	hpackTableSize = 4 << 10 // bytes, for each direction
 )
 
 var errMalformed = errors.New("malformed message") //nolint:gochecknoglobals // Sentinel error.
@@ -69,27 +71,38 @@
 }
 
 // writeMessage sends the message. If complete is set, body is the complete body,
-// otherwise it is the first chunk.
-func (c *conn) writeMessage(body []byte, complete bool) error {
+// otherwise it is the first chunk. After an error, mayBeRead reports whether the peer may
+// have received what it waits for before it handles the message: the complete message, or
+// the head if the body is chunked.
+func (c *conn) writeMessage(body []byte, complete bool) (mayBeRead bool, err error) {
 	b := c.out.Bytes()
+	headEnd := len(b)
 	binary.BigEndian.PutUint32(b, uint32(len(b)-prefixSize)) //nolint:gosec // Bounded by the size limits of headers.
 	if complete {
 		binary.BigEndian.PutUint32(b[4:], uint32(len(body))) //nolint:gosec // At most maxWholeBody.
 		c.out.Write(body)
-		_, err := c.nc.Write(c.out.Bytes())
-		return err
+		n, err := c.nc.Write(c.out.Bytes())
+		return n == c.out.Len(), err
 	}
 	binary.BigEndian.PutUint32(b[4:], chunkedBody)
 	if len(body) > 0 {
 		c.out.Write(binary.BigEndian.AppendUint32(nil, uint32(len(body)))) //nolint:gosec // At most maxWholeBody.
 		c.out.Write(body)
 	}
-	_, err := c.nc.Write(c.out.Bytes())
-	return err
+	n, err := c.nc.Write(c.out.Bytes())
+	return n >= headEnd, err
 }
 
-// writeChunks sends r in chunks, followed by the empty chunk that ends the body.
+// sourceError is an error of the reader that a body is sent from.
+type sourceError struct{ error }
+
+func (e sourceError) Unwrap() error { return e.error }
+
+// writeChunks sends r in chunks, followed by the empty chunk that ends the body. An error of
+// r is returned as a sourceError.
 func (c *conn) writeChunks(r io.Reader) error {
+	// The deadline must not fail a later message on this connection.
+	defer func() { _ = c.nc.SetWriteDeadline(time.Time{}) }() // Fails only if the connection is closed.
 	buf := make([]byte, 4+chunkSize)
 	for {
 		n, err := r.Read(buf[4:])
@@ -105,11 +118,22 @@
 			return e
 		}
 		if err != nil {
-			return err
+			return sourceError{err}
 		}
 	}
 }
 
+// linger tells the peer that no more is sent and discards what it still sends, for a
+// bounded time and size. Closing a connection with unread bytes resets it, and the peer
+// could lose the reply.
+func (c *conn) linger() {
+	if tc, ok := c.nc.(*net.TCPConn); ok {
+		_ = tc.CloseWrite() // The connection is closed afterwards in any case.
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, c.br, lingerBytes) // As above.
+}
+
 // readHead reads the prefix and the head of a message and calls onField for each field.
 // It returns the length of the body, or -1 if the body is chunked.
 func (c *conn) readHead(onField func(f hpack.HeaderField)) (int, error) {
--- a/io/berylmesh/mesh.go
+++ b/io/berylmesh/mesh.go
@@ -46,6 +46,8 @@
 // and reports whether it returned without a panic. After a panic the connection is closed.
 func Guard(f func(part string, f func()) bool) func(*Mesh) { return func(m *Mesh) { m.guard = f } }
 
+var errPanicked = errors.New("panic while the request body was sent") //nolint:gochecknoglobals // Sentinel error.
+
 // New returns a mesh without connections. names holds the names of the headers that it
 // handles itself.
 func New(names berylheadernames.Names, opts ...func(*Mesh)) *Mesh {
@@ -155,21 +157,16 @@
 		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonNoConnection)
 	}
 	stop := context.AfterFunc(ctx, c.close)
-	if err := m.writeRequest(c, req); err != nil {
+	if mayBeRead, err := m.writeRequest(c, req); err != nil {
 		stop()
 		c.close()
 		m.closeIdle(addr)
-		// The instance does not run a request before it has read the complete message. This
-		// does not hold for a streamed body, before which it reads only the head.
-		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonNoConnection)
-	}
-	if req.Stream != nil {
-		if err := c.writeChunks(req.Stream); err != nil {
-			stop()
-			c.close()
+		if mayBeRead {
 			return berylreply.NewFailure(berylattempt.Unknown, failureReason(ctx))
 		}
+		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonNoConnection)
 	}
+	bodyWritten := m.writeBody(c, req)
 	reply, err := m.readReply(c, req.ID)
 	if err != nil {
 		stop()
@@ -179,9 +176,15 @@
 		}
 		return berylreply.NewFailure(berylattempt.Unknown, failureReason(ctx))
 	}
+	reusable := false
+	select {
+	case err := <-bodyWritten:
+		reusable = err == nil
+	default: // The instance replied before it had the whole body.
+	}
 	if reply.Stream != nil {
 		reply.Stream = berylbody.New(reply.Stream, func(complete bool) {
-			if stop() && complete {
+			if stop() && complete && reusable {
 				m.put(addr, c)
 				return
 			}
@@ -189,12 +192,34 @@
 		})
 		return reply
 	}
-	if stop() {
+	if stop() && reusable {
 		m.put(addr, c)
+	} else {
+		c.close()
 	}
 	return reply
 }
 
+// writeBody starts to send the rest of a streamed body and returns the channel that gets the
+// result. The reply may come earlier, for example if the instance refuses the request.
+func (m *Mesh) writeBody(c *conn, req *berylrequest.Request) <-chan error {
+	written := make(chan error, 1)
+	if req.Stream == nil {
+		written <- nil
+		return written
+	}
+	go func() { // Ends at the latest when the connection is closed and the stream has ended.
+		err := errPanicked
+		m.guard("request body", func() { err = c.writeChunks(req.Stream) })
+		var source sourceError
+		if errors.As(err, &source) || errors.Is(err, errPanicked) {
+			c.close() // The instance must not take the incomplete body for a complete one.
+		}
+		written <- err
+	}()
+	return written
+}
+
 func failureReason(ctx context.Context) string {
 	if ctx.Err() != nil {
 		return berylreply.ReasonCanceled
--- a/io/berylmesh/message.go
+++ b/io/berylmesh/message.go
@@ -33,8 +33,8 @@
 )
 
 // writeRequest sends a request. Of a streamed body it sends only the first part, which
-// is in Body.
-func (m *Mesh) writeRequest(c *conn, req *berylrequest.Request) error {
+// is in Body. After an error, mayBeRead reports whether the instance may handle the request.
+func (m *Mesh) writeRequest(c *conn, req *berylrequest.Request) (mayBeRead bool, err error) {
 	now := time.Now()
 	c.startMessage()
 	c.writeField(fieldMethod, req.Method, true)
@@ -151,7 +151,8 @@
 		strconv.FormatInt(reply.MeanServiceTime.Milliseconds(), 10)+" "+strconv.FormatInt(reply.QueueTime.Milliseconds(), 10), false)
 	if reply.Outcome != berylattempt.Answered {
 		c.writeField(fieldFailure, reply.Outcome.String()+" "+reply.Reason+" "+strconv.FormatInt(reply.RetryAfter.Milliseconds(), 10)+" "+reply.ActualServerID, false)
-		return c.writeMessage(nil, true)
+		_, err := c.writeMessage(nil, true)
+		return err
 	}
 	c.writeField(fieldStatus, strconv.Itoa(reply.Status), true)
 	for name, values := range reply.Header {
@@ -163,12 +164,13 @@
 		}
 	}
 	if reply.Stream == nil && len(reply.Body) <= maxWholeBody {
-		return c.writeMessage(reply.Body, true)
+		_, err := c.writeMessage(reply.Body, true)
+		return err
 	}
 	if reply.Length >= 0 {
 		c.writeField(fieldBodyLength, strconv.FormatInt(reply.Length, 10), false)
 	}
-	if err := c.writeMessage(nil, false); err != nil {
+	if _, err := c.writeMessage(nil, false); err != nil {
 		return err
 	}
 	return c.writeChunks(reply.Reader())
--- a/io/berylmesh/server.go
+++ b/io/berylmesh/server.go
@@ -95,7 +95,10 @@
 	defer reply.Close()
 	if body, ok := req.Stream.(*chunkReader); ok && !body.done {
 		// The rest of the request body is still to come, so the connection cannot be reused.
-		_ = s.mesh.writeReply(c, req, reply) // The connection is closed in any case.
+		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) // Fails only if the connection is closed.
+		if s.mesh.writeReply(c, req, reply) == nil {
+			c.linger()
+		}
 		return false
 	}
 	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) // Fails only if the connection is closed.
--- a/io/berylmesh/wire_test.go
+++ b/io/berylmesh/wire_test.go
@@ -38,7 +38,7 @@
 			want  any
 			read  func(c *conn) (any, error)
 		}{
-			{"request", func(c *conn) error { return m.writeRequest(c, request) }, request, func(c *conn) (any, error) { return m.readRequest(c) }},
+			{"request", func(c *conn) error { _, err := m.writeRequest(c, request); return err }, request, func(c *conn) (any, error) { return m.readRequest(c) }},
 			{"answered", func(c *conn) error { return m.writeReply(c, request, answered) }, answered, func(c *conn) (any, error) { return m.readReply(c, "id-1") }},
 			{"refused", func(c *conn) error { return m.writeReply(c, request, refused) }, refused, func(c *conn) (any, error) { return m.readReply(c, "id-1") }},
 		} {
