Let requests wait briefly for a token, and return in time after a refusal

Cause: a request that found the bucket of its workspace empty was refused at once, also when the next token was due within milliseconds, and told to return after 300 ms or more. The Retry-After of a full queue was the predicted wait without a bound; predicted by rank it may lie beyond the time that the caller has.

Change: a request waits for a token for up to an eighth of the time until its target, unless requests that wait already need all tokens that come until then (a workspace far above its rate is refused as fast as before). Retry-After is the predicted time until there is room, spread by up to a half, or as before a random part of a third of the time left if the room comes later than that.

--- a/core/berylbackoff/backoff.go
+++ b/core/berylbackoff/backoff.go
@@ -13,14 +13,34 @@
 // maxDelayShare is the largest fraction of the time left that a retry is delayed by.
 const maxDelayShare = 1.0 / 3
 
+// maxSpread is the largest fraction of the expected time until there is room that is added
+// to it, so that requests refused together return apart.
+const maxSpread = 0.5
+
+// DelayUntilRoom returns how long to wait before retrying a request that was refused because
+// there is expected to be room for it only after the given time. If that is later than a
+// retry should be, the delay is the one for an unknown time. The other arguments are those
+// of RetryDelay.
+func DelayUntilRoom(room, timeToTarget, timeToDeadline time.Duration, random float64) time.Duration {
+	delay := time.Duration(float64(room) * (1 + maxSpread*random))
+	if room <= 0 || delay > maxDelay(timeToTarget, timeToDeadline) {
+		return RetryDelay(timeToTarget, timeToDeadline, random)
+	}
+	return max(MinDelay, delay)
+}
+
 // RetryDelay returns how long to wait before retrying a request that was refused
 // because of overload. timeToTarget is the time left until its answer is late,
 // timeToDeadline the time left until it is useless, which counts once the answer is
 // late. random is in [0,1).
 func RetryDelay(timeToTarget, timeToDeadline time.Duration, random float64) time.Duration {
+	return max(MinDelay, time.Duration(float64(maxDelay(timeToTarget, timeToDeadline))*random))
+}
+
+func maxDelay(timeToTarget, timeToDeadline time.Duration) time.Duration {
 	left := timeToTarget
 	if left <= 0 {
 		left = timeToDeadline
 	}
-	return max(MinDelay, time.Duration(float64(left)*maxDelayShare*random))
+	return time.Duration(float64(left) * maxDelayShare)
 }
--- a/core/berylsimulation/instance.go
+++ b/core/berylsimulation/instance.go
@@ -85,10 +85,7 @@
 	m := in.m
 	to := in.choose(q, tried)
 	if to == nil || len(tried) >= maxAttempts || m.now().After(q.deadline) {
-		if retryAfter == 0 {
-			retryAfter = berylbackoff.RetryDelay(q.target.Sub(m.now()), q.deadline.Sub(m.now()), m.rng.Float64())
-		}
-		done(refused, max(retryAfter, berylbackoff.MinDelay))
+		done(refused, berylbackoff.DelayUntilRoom(retryAfter, q.target.Sub(m.now()), q.deadline.Sub(m.now()), m.rng.Float64()))
 		return
 	}
 	tried[to] = true
--- a/io/berylproxy/check.go
+++ b/io/berylproxy/check.go
@@ -147,13 +147,21 @@
 	p.chooseService(q, config)
 	if account := q.account; account != nil && account.Rate > 0 {
 		var retryAfter time.Duration
-		if q.tokenTaken, retryAfter = p.Quotas.Take(ctx, account); !q.tokenTaken {
+		if q.tokenTaken, retryAfter = p.Quotas.Take(ctx, account, maxTokenWait(time.Until(q.outgoing.TargetTime))); !q.tokenTaken {
 			return p.refuse(q, http.StatusTooManyRequests, reasonOverRate, max(retryAfter, minQuotaRetryDelay))
 		}
 	}
 	return nil
 }
 
+// tokenWaitShare is the fraction of the time left until the target that a request may wait
+// for a token of its workspace. A retry after a refusal would take longer.
+const tokenWaitShare = 1.0 / 8
+
+func maxTokenWait(timeToTarget time.Duration) time.Duration {
+	return time.Duration(float64(max(timeToTarget, 0)) * tokenWaitShare)
+}
+
 // chooseService sets the service of a request, and the rank and importance that it has
 // there.
 func (p *Proxy) chooseService(q *request, config *berylhttpconfig.Config) {
@@ -167,9 +175,9 @@
 }
 
 // retryDelay returns the Retry-After time of a request that was refused because of
-// overload.
-func retryDelay(q *request) time.Duration {
-	return berylbackoff.RetryDelay(time.Until(q.outgoing.TargetTime), time.Until(q.outgoing.Deadline), random())
+// overload. room is the expected time until there is room for it, 0 if unknown.
+func retryDelay(q *request, room time.Duration) time.Duration {
+	return berylbackoff.DelayUntilRoom(room, time.Until(q.outgoing.TargetTime), time.Until(q.outgoing.Deadline), random())
 }
 
 func (p *Proxy) splitter(rule *berylrule.Rule) *berylsplitter.Splitter {
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -240,17 +240,13 @@
 	case st.maybeRan:
 		return p.refuse(q, http.StatusBadGateway, q.reason, 0)
 	case q.attempts == 0 && !st.overloaded:
-		return p.refuse(q, http.StatusServiceUnavailable, reasonNoInstance, retryDelay(q))
+		return p.refuse(q, http.StatusServiceUnavailable, reasonNoInstance, retryDelay(q, 0))
 	case st.overloaded:
 		q.queueTime = time.Since(q.ReceivedAt) + refusedCallWait
-		retryAfter := st.retryAfter
-		if retryAfter == 0 {
-			retryAfter = retryDelay(q)
-		}
 		if q.reason == "" {
 			q.reason = berylreply.ReasonThrottled
 		}
-		return p.refuse(q, http.StatusServiceUnavailable, q.reason, max(retryAfter, berylbackoff.MinDelay))
+		return p.refuse(q, http.StatusServiceUnavailable, q.reason, retryDelay(q, st.retryAfter))
 	}
 	return p.refuse(q, http.StatusServiceUnavailable, q.reason, berylbackoff.MinDelay)
 }
--- a/io/berylratelimiter/ratelimiter_test.go
+++ b/io/berylratelimiter/ratelimiter_test.go
@@ -28,7 +28,7 @@
 	start := time.Now()
 	for time.Since(start) < 500*time.Millisecond {
 		for _, l := range limiters {
-			if ok, _ := l.Take(context.Background(), a); ok {
+			if ok, _ := l.Take(context.Background(), a, 0); ok {
 				admitted++
 			}
 		}
@@ -76,7 +76,7 @@
 		for range 4 {
 			wg.Go(func() {
 				for time.Since(start) < time.Second {
-					if ok, _ := l.Take(context.Background(), a); ok {
+					if ok, _ := l.Take(context.Background(), a, 0); ok {
 						mu.Lock()
 						admitted++
 						mu.Unlock()
@@ -97,7 +97,7 @@
 	l := New("a", func(string, Message) {})
 	admitted := 0
 	for range 50 {
-		if ok, _ := l.Take(context.Background(), a); ok {
+		if ok, _ := l.Take(context.Background(), a, 0); ok {
 			admitted++
 		}
 	}
--- a/io/berylratelimiter/sparse_test.go
+++ b/io/berylratelimiter/sparse_test.go
@@ -44,7 +44,7 @@
 		sent, refused := 0, 0
 		for start := time.Now(); time.Since(start) < 2*time.Minute; sent++ {
 			time.Sleep(time.Duration(r.ExpFloat64() / requestsPerSecond * float64(time.Second)))
-			if ok, _ := limiters[hosts[r.IntN(instanceCount)]].Take(context.Background(), a); !ok {
+			if ok, _ := limiters[hosts[r.IntN(instanceCount)]].Take(context.Background(), a, 0); !ok {
 				refused++
 			}
 		}
--- a/io/berylratelimiter/tokencache.go
+++ b/io/berylratelimiter/tokencache.go
@@ -16,7 +16,7 @@
 	expiresAt    time.Time // of all tokens
 	requestedAt  time.Time
 	pending      bool          // the last request has no reply yet
-	waitingCount int           // requests of callers that wait for a reply
+	waitingCount int           // requests of callers that wait for a token
 	deniedUntil  time.Time     // the lender has no tokens before
 	replied      chan struct{} // closed and replaced at every reply
 }
@@ -34,89 +34,90 @@
 	return c
 }
 
-// Take takes a token for one request. If there is none, it returns how long until one
-// may be available.
-func (l *RateLimiter) Take(ctx context.Context, a *berylaccount.Account) (bool, time.Duration) {
-	c, replied, ok, wait := l.takeCached(a)
-	if replied == nil {
-		return ok, wait
+// Take takes a token for one request. If there is none, it waits for one, but no longer than
+// maxWait after the lender has denied one, and not at all if other requests already wait for
+// all tokens that become available until then. If it takes none, it returns how long until
+// one may be available.
+//
+// A workspace within its rate that sends at random finds its bucket empty at times. A short
+// wait then serves the caller sooner than a refusal and a retry.
+func (l *RateLimiter) Take(ctx context.Context, a *berylaccount.Account, maxWait time.Duration) (bool, time.Duration) {
+	deadline := time.Now().Add(maxWait)
+	c, step := l.startTake(a, deadline)
+	defer l.endTake(c)
+	for !step.ended {
+		gotReply := false
+		timer := time.NewTimer(step.wait)
+		select {
+		case <-step.replied:
+			gotReply = true
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return false, 0
+		}
+		timer.Stop()
+		step = l.continueTake(c, deadline, step.asked && !gotReply)
 	}
-	ok, wait = l.awaitReply(ctx, c, replied)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c.waitingCount--
-	return ok, wait
+	return step.ok, step.wait
 }
 
-// takeCached takes a token if there is one, or returns how long until one may be available.
-// If the lender has to be asked first, it returns the channel that is closed with its reply;
-// the request then counts as waiting.
-func (l *RateLimiter) takeCached(a *berylaccount.Account) (c *tokenCache, replied chan struct{}, ok bool, wait time.Duration) {
+// takeStep is what a request that needs a token does next. If it has ended, ok tells whether
+// it took a token, and wait how long until one may be available otherwise. If not, it waits
+// for a reply of the lender, but no longer than wait. asked tells whether that is the time
+// within which the lender must reply.
+type takeStep struct {
+	ended, ok, asked bool
+	wait             time.Duration
+	replied          chan struct{}
+}
+
+func (l *RateLimiter) startTake(a *berylaccount.Account, deadline time.Time) (*tokenCache, takeStep) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c = l.cache(now, a)
+	c := l.cache(now, a)
 	c.fallback.RecordRequest(now)
-	if !now.Before(c.expiresAt) {
-		c.tokens = 0
-	}
-	if c.tokens > 0 {
-		c.tokens--
-		l.prefetchIfLow(now, c)
-		return c, nil, true, 0
-	}
-	if now.Before(c.deniedUntil) {
-		return c, nil, false, c.deniedUntil.Sub(now)
-	}
-	replied = c.replied // requestTokens may get a reply at once and replace it.
+	step := l.take(now, c, deadline, c.waitingCount)
 	c.waitingCount++
-	l.requestTokens(now, c, max(c.waitingCount, l.prefetchTokens(now, c)))
-	return c, replied, false, 0
+	return c, step
 }
 
-// awaitReply waits for the lender's reply and takes a token. If other requests have
-// taken all tokens of the reply, it requests more. It falls back on the own share of
-// the rate only if no reply comes.
-func (l *RateLimiter) awaitReply(ctx context.Context, c *tokenCache, replied chan struct{}) (bool, time.Duration) {
-	timer := time.NewTimer(replyTimeout)
-	defer timer.Stop()
-	for {
-		gotReply := false
-		select {
-		case <-replied:
-			gotReply = true
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		next, ok, wait := l.takeReplied(c, gotReply)
-		if next == nil {
-			return ok, wait
-		}
-		replied = next
+func (l *RateLimiter) continueTake(c *tokenCache, deadline time.Time, lenderSilent bool) takeStep {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if lenderSilent && (c.tokens == 0 || !now.Before(c.expiresAt)) && !now.Before(c.deniedUntil) {
+		ok, wait := c.fallback.Take(now)
+		return takeStep{ended: true, ok: ok, wait: wait}
 	}
+	return l.take(now, c, deadline, 0)
 }
 
-// takeReplied takes a token after a reply of the lender, or from the own share of the rate
-// if none came. If other requests have taken all tokens of the reply, it requests more and
-// returns the channel that is closed with the next reply.
-func (l *RateLimiter) takeReplied(c *tokenCache, gotReply bool) (replied chan struct{}, ok bool, wait time.Duration) {
-	now := time.Now()
+func (l *RateLimiter) endTake(c *tokenCache) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch {
-	case c.tokens > 0 && now.Before(c.expiresAt):
+	c.waitingCount--
+}
+
+// take takes a token if there is one, and otherwise asks the lender for one unless it has
+// denied one a short time ago. ahead is the number of requests that get a token first.
+func (l *RateLimiter) take(now time.Time, c *tokenCache, deadline time.Time, ahead int) takeStep {
+	if !now.Before(c.expiresAt) {
+		c.tokens = 0
+	}
+	if c.tokens > 0 {
 		c.tokens--
 		l.prefetchIfLow(now, c)
-		return nil, true, 0
-	case now.Before(c.deniedUntil):
-		return nil, false, c.deniedUntil.Sub(now)
-	case !gotReply:
-		ok, wait = c.fallback.Take(now)
-		return nil, ok, wait
+		return takeStep{ended: true, ok: true}
+	}
+	if wait := c.deniedUntil.Sub(now); wait > 0 {
+		room := c.deniedUntil.Add(time.Duration(float64(ahead) / c.account.Rate * float64(time.Second)))
+		return takeStep{ended: room.After(deadline), wait: wait, replied: c.replied}
 	}
-	replied = c.replied
-	l.requestTokens(now, c, max(c.waitingCount, l.prefetchTokens(now, c)))
-	return replied, false, 0
+	step := takeStep{asked: true, wait: replyTimeout, replied: c.replied} // requestTokens may get a reply at once and replace c.replied.
+	l.requestTokens(now, c, max(c.waitingCount, l.prefetchTokens(now, c), 1))
+	return step
 }
 
 // prefetchIfLow requests tokens ahead when less than half of the prefetch is left.
--- a/io/berylratelimiter/zones_test.go
+++ b/io/berylratelimiter/zones_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +25,7 @@
 	account     *berylaccount.Account
 	limiters    [][]*RateLimiter        // by data centre
 	zone        map[string]int          // index of the data centre, by host
+	maxWait     time.Duration           // of a request for a token
 	partitioned func(from, to int) bool // whether messages between two data centres are lost
 	admittedAt  []time.Time
 }
@@ -89,7 +91,7 @@
 	for start := time.Now(); time.Since(start) < duration; sent++ {
 		time.Sleep(time.Duration(r.ExpFloat64() / requestsPerSecond * float64(time.Second)))
 		limiters := z.limiters[r.IntN(len(z.limiters))]
-		if ok, _ := limiters[r.IntN(len(limiters))].Take(context.Background(), z.account); ok {
+		if ok, _ := limiters[r.IntN(len(limiters))].Take(context.Background(), z.account, z.maxWait); ok {
 			z.admittedAt = append(z.admittedAt, time.Now())
 		} else {
 			refused++
@@ -98,6 +100,32 @@
 	return sent, refused
 }
 
+// sendConcurrently is like sendRequests, but a request does not wait for the end of the one
+// before it. It also returns the longest time that a refused request waited.
+func (z *zonedFleet) sendConcurrently(r *rand.Rand, requestsPerSecond float64, duration time.Duration) (sent, refused int, longest time.Duration) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for start := time.Now(); time.Since(start) < duration; sent++ {
+		time.Sleep(time.Duration(r.ExpFloat64() / requestsPerSecond * float64(time.Second)))
+		limiters := z.limiters[r.IntN(len(z.limiters))]
+		l := limiters[r.IntN(len(limiters))]
+		wg.Go(func() {
+			begin := time.Now()
+			ok, _ := l.Take(context.Background(), z.account, z.maxWait)
+			mu.Lock()
+			defer mu.Unlock()
+			if ok {
+				z.admittedAt = append(z.admittedAt, time.Now())
+				return
+			}
+			refused++
+			longest = max(longest, time.Since(begin))
+		})
+	}
+	wg.Wait()
+	return sent, refused, longest
+}
+
 // maxAdmittedInFiveSeconds returns the most requests admitted in any five seconds.
 func (z *zonedFleet) maxAdmittedInFiveSeconds() int {
 	highest, first := 0, 0
@@ -123,6 +151,40 @@
 	})
 }
 
+// A workspace that stays within its rate was refused whenever its bucket was empty for a
+// moment. One that sends five times its rate must be refused at once instead of holding
+// many requests.
+func TestRequestsWithinTheRateWaitForATokenInsteadOfBeingRefused(t *testing.T) {
+	const maxWait = 180 * time.Millisecond
+	for _, tc := range []struct {
+		name               string
+		rate, burst        float64
+		demand             float64 // requests per second
+		minShare, maxShare float64 // of the requests that are refused
+	}{
+		{"small workspace at two thirds of its rate", 9, 6, 6, 0, 0.01},
+		{"large workspace at nine tenths of its rate", 60, 20, 54, 0, 0.01},
+		{"five times its rate", 20, 20, 100, 0.78, 0.82},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				z := newZonedFleet(6, 7, &berylaccount.Account{Workspace: "w", Rate: tc.rate, Burst: tc.burst})
+				z.maxWait = maxWait
+				z.update(0)
+				time.Sleep(time.Second)
+				sent, refused, longest := z.sendConcurrently(rand.New(rand.NewPCG(1, 1)), tc.demand, 2*time.Minute)
+				share := float64(refused) / float64(sent)
+				t.Logf("%d of %d refused, after at most %v", refused, sent, longest)
+				require.GreaterOrEqual(t, share, tc.minShare)
+				require.LessOrEqual(t, share, tc.maxShare)
+				require.Less(t, longest, maxWait+replyTimeout)
+				require.LessOrEqual(t, float64(z.maxAdmittedInFiveSeconds()), 5*tc.rate+tc.burst)
+				time.Sleep(time.Second) // for replies in flight
+			})
+		})
+	}
+}
+
 // Guards against exceeding the rate when the lending data centre is partitioned from the
 // others and becomes reachable again, while a workspace sends three times its rate. Each
 // side learns of the partition two seconds late. Until then the others refuse requests
@@ -161,7 +223,7 @@
 		time.Sleep(time.Second)
 		for _, limiters := range z.limiters[1:] {
 			for _, l := range limiters {
-				ok, _ := l.Take(context.Background(), z.account)
+				ok, _ := l.Take(context.Background(), z.account, 0)
 				require.True(t, ok)
 			}
 		}
