Lend the whole rate as soon as all data centres are heard after a restart

The data centre that lends a workspace's tokens hears no other for up to a second. Its share started from a sixth and then grew by 0.15 a second, for 5.5 s in all, although it heard everyone after one.

Change: within 2 s of the start of an instance the share of the lending data centre follows what is heard at once. No data centre uses a share of its own before it had no answer for those 2 s, so none that started together does. Later changes grow slowly as before.

--- a/io/berylsidecar/far.go
+++ b/io/berylsidecar/far.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"berylspan/core/berylhash"
+	"berylspan/core/berylramp"
 	"berylspan/io/berylgossip"
 )
 
@@ -20,7 +21,7 @@
 // farSilent is how long none of a data centre's instances may be heard: five
 // words. A data centre without an answer of the lender uses its own part no
 // sooner.
-const farSilent = 2 * time.Second
+const farSilent = berylramp.SettleTime
 
 func (s *Sidecar) far(peers []berylgossip.Peer) *far {
 	f := &far{own: s.set.Load().Zone, zones: map[string][]string{}, zone: map[string]string{}, heard: map[string]bool{}}
--- a/io/berylsidecar/quotas.go
+++ b/io/berylsidecar/quotas.go
@@ -110,11 +110,11 @@
 		round.LenderCount, round.OtherDemand, round.LendingZoneHosts = zones, everywhere(own, near, zones), far.lending
 		round.ReservedShare = func(workspace string) float64 {
 			part := far.part(workspace, own, demand)
-			first := 1 / float64(zones)
 			if far.lends(workspace) == far.own {
-				first = part
+				part = s.ramp.LimitLending(time.Now(), workspace, part)
+			} else {
+				part = s.ramp.Limit(time.Now(), workspace, part, 1/float64(zones))
 			}
-			part = s.ramp.Limit(time.Now(), workspace, part, first)
 			return 1 - part*(1-s.reserve.Share(workspace, max(fleet/zones, 1)))
 		}
 	}
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -67,7 +67,7 @@
 
 // New returns a sidecar that does nothing before Start.
 func New(set Settings, names berylheadernames.Names, feed berylstorecache.Source, log zerolog.Logger) *Sidecar {
-	s := &Sidecar{names: names, log: log, start: time.Now().UnixMilli(), meter: newMeter(), reserve: berylreserve.New(), ramp: berylramp.New()}
+	s := &Sidecar{names: names, log: log, start: time.Now().UnixMilli(), meter: newMeter(), reserve: berylreserve.New(), ramp: berylramp.New(time.Now())}
 	s.set.Store(&set)
 	s.puller = &http.Client{Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: pullDial, Control: berylmesh.SetTCPUserTimeout}).DialContext, IdleConnTimeout: pullIdle,
