Ask other instances before the first read of the store is used

Cause (an operators' story: after a restart a server that had left, or a key that had been withdrawn, was in use again): a started instance has nothing to compare the store with. If the store is behind, it used what it read until a heartbeat told it of something newer; the test saw the withdrawn key accepted 7 ms after the start.

Change: with the first read, a started instance asks two other instances what they know, for at most 250 ms, and uses the newer. Those that know nothing do not count.

--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -10,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"berylspan/core/berylregistration"
 	"berylspan/io/berylgossip"
 	"berylspan/io/berylproxy"
 	"berylspan/io/berylstorecache"
@@ -215,6 +217,21 @@
 	return n
 }
 
+// startupPeerCount is the number of instances that a started one asks for what they know.
+const startupPeerCount = 2
+
+// startupPeers returns the addresses of other instances, chosen at random.
+func (s *Sidecar) startupPeers(servers []berylregistration.Registration) []string {
+	set := s.set.Load()
+	var addrs []string
+	for _, i := range rand.Perm(len(servers)) {
+		if host := servers[i].Host(); host != set.Host && len(addrs) < startupPeerCount {
+			addrs = append(addrs, net.JoinHostPort(host, set.Port))
+		}
+	}
+	return addrs
+}
+
 // hear returns what is done with a word.
 func (s *Sidecar) hear(ctx context.Context) func(host string, w berylgossip.Heartbeat) {
 	return func(host string, w berylgossip.Heartbeat) {
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -78,6 +78,7 @@
 	s.view = berylstorecache.New(feed, log,
 		berylstorecache.Guard(s.guard.Run),
 		berylstorecache.Fetch(s.pull),
+		berylstorecache.StartupPeers(s.startupPeers),
 		berylstorecache.Rank(s.place),
 		berylstorecache.OnChange(s.changed))
 	s.quotas = berylratelimiter.New(set.Host, s.passQuota)
--- a/io/berylstorecache/storecache.go
+++ b/io/berylstorecache/storecache.go
@@ -26,16 +26,17 @@
 // StoreCache is an instance's copy of the published configuration and server list. It is
 // safe for concurrent use; the goroutine of Run makes all changes.
 type StoreCache struct {
-	source   Source
-	fetch    func(ctx context.Context, addr string, k KnownVersions) (*Snapshot, error)
-	rank     func() int // of this instance among the live ones, from 0
-	onChange func(from string)
-	log      zerolog.Logger
-	clock    berylclock.Clock
-	guard    func(part string, f func()) bool
-	loop     *berylloop.Loop
-	state    atomic.Pointer[State]
-	reads    atomic.Int64 // of the store
+	source       Source
+	fetch        func(ctx context.Context, addr string, k KnownVersions) (*Snapshot, error)
+	startupPeers func(servers []berylregistration.Registration) []string
+	rank         func() int // of this instance among the live ones, from 0
+	onChange     func(from string)
+	log          zerolog.Logger
+	clock        berylclock.Clock
+	guard        func(part string, f func()) bool
+	loop         *berylloop.Loop
+	state        atomic.Pointer[State]
+	reads        atomic.Int64 // of the store
 
 	// Owned by the loop.
 	reading             bool
@@ -115,7 +116,7 @@
 
 // New returns an empty cache. It reads nothing before Run.
 func New(source Source, log zerolog.Logger, opts ...func(*StoreCache)) *StoreCache {
-	c := &StoreCache{source: source, log: log, clock: berylclock.BootClock, guard: berylpanic.Unguarded, loop: berylloop.New(), rank: func() int { return 0 }, onChange: func(string) {}, pendingRemovals: map[string]time.Time{}, changes: berylhistory.New()}
+	c := &StoreCache{source: source, log: log, clock: berylclock.BootClock, guard: berylpanic.Unguarded, loop: berylloop.New(), rank: func() int { return 0 }, startupPeers: func([]berylregistration.Registration) []string { return nil }, onChange: func(string) {}, pendingRemovals: map[string]time.Time{}, changes: berylhistory.New()}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -194,8 +195,17 @@
 	if !returned {
 		err = errPanicked
 	}
+	var snapshots map[string]*Snapshot
+	if err == nil && c.State().Config == nil {
+		snapshots = c.fetchAtStartup(ctx, result)
+	}
 	// Fails only after Run has ended.
-	_ = c.loop.Post(ctx, func() { c.guarded(func() { c.handleRead(result, err) }) })
+	_ = c.loop.Post(ctx, func() {
+		for addr, snapshot := range snapshots {
+			c.guarded(func() { c.handleSnapshot(addr, KnownVersions{}, snapshot, nil) })
+		}
+		c.guarded(func() { c.handleRead(result, err) })
+	})
 }
 
 func (c *StoreCache) handleRead(result *ReadResult, err error) {
