--- a/io/beryldaemon/daemon.go
+++ b/io/beryldaemon/daemon.go
@@ -19,9 +19,11 @@
 	"berylspan/io/berylcontrolclients"
 	"berylspan/io/beryldeduplicator"
 	"berylspan/io/beryldispatch"
+	"berylspan/io/berylechoclient"
 	"berylspan/io/berylegress"
 	"berylspan/io/berylendpoint"
 	"berylspan/io/berylequalsplit"
+	"berylspan/io/berylheader"
 	"berylspan/io/berylingress"
 	"berylspan/io/berylloads"
 	"berylspan/io/berylmetrics"
@@ -37,6 +39,7 @@
 	"berylspan/io/beryltransport"
 	"berylspan/io/berylwire"
 
+	"connectrpc.com/connect"
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 )
@@ -129,6 +132,17 @@
 	return 0
 }
 
+// backendClient returns a client for the backend server and a function that closes its idle
+// connections.
+func (d *Daemon) backendClient() (connect.HTTPClient, func()) {
+	if d.set.HTTP1 {
+		c := berylechoclient.New(beryltransport.NetDial(), berylheader.Call)
+		return c, c.CloseIdleConnections
+	}
+	c := beryltransport.HTTP2(beryltransport.NetDial(), nil)
+	return c, c.CloseIdleConnections
+}
+
 // build wires the parts; nothing runs yet.
 func (d *Daemon) build() {
 	self := berylinstance.Instance{ID: d.set.ID, Service: d.set.Service, Zone: d.set.Zone, PeerAddr: d.set.Reach}
@@ -138,11 +152,8 @@
 	}
 	toPeers := beryltransport.NewFailoverClient(d.dial, d.secure.Client())
 	toPlatform := beryltransport.HTTP1(d.dial)
-	toBackend := beryltransport.HTTP2(beryltransport.NetDial(), nil)
-	if d.set.HTTP1 {
-		toBackend = beryltransport.HTTP1(beryltransport.NetDial())
-	}
-	d.idle = []func(){toPeers.CloseIdleConnections, toPlatform.CloseIdleConnections, toBackend.CloseIdleConnections}
+	toBackend, closeToBackend := d.backendClient()
+	d.idle = []func(){toPeers.CloseIdleConnections, toPlatform.CloseIdleConnections, closeToBackend}
 	clients := berylcontrolclients.New(toPeers, scheme, d.set.Secret)
 	platform := berylplatform.HTTP(d.set.Platform, toPlatform)
 	d.control = berylcontrol.New(self, platform, clients, d.guard, d.log, berylcontrol.Seeds(d.set.Seeds))
