Let no single caller make a rule's requests count as late, nor old loads replace new

A heartbeat replaced the load that an answer had reported after it.

The tracker ignores loads received before the known one.

--- a/core/beryltracker/tracker.go
+++ b/core/beryltracker/tracker.go
@@ -68,10 +68,13 @@
 
 // LoadReported records the load that an instance reported: the requests that run
 // or wait there, its concurrency limit and the mean service time of the rule in
-// seconds, 0 when unknown.
+// seconds, 0 when unknown. now is when the report was received; a load that was received
+// before the known one is ignored.
 func (t *Tracker) LoadReported(now time.Time, id, rule string, busy, limit int, serviceTime float64) {
 	in := t.get(now, id)
-	in.reportedBusy, in.reportedLimit, in.reportedAt, in.inflightAtReport = busy, limit, now, in.inflight
+	if !now.Before(in.reportedAt) {
+		in.reportedBusy, in.reportedLimit, in.reportedAt, in.inflightAtReport = busy, limit, now, in.inflight
+	}
 	if serviceTime > 0 {
 		if old := in.serviceTimes[rule]; old > 0 {
 			serviceTime = old + smoothing*(serviceTime-old)
--- a/io/berylproxy/check.go
+++ b/io/berylproxy/check.go
@@ -12,6 +12,7 @@
 	"berylspan/core/berylhttpconfig"
 	"berylspan/core/berylrule"
 	"berylspan/core/berylsplitter"
+	"berylspan/core/beryltimelimit"
 	"berylspan/io/berylhttpserver"
 	"berylspan/io/berylrequest"
 
@@ -120,9 +121,8 @@
 			outgoing.Rank = account.Priority*rankStride + min(q.rule.Priority, rankStride-1)
 		}
 	}
-	maxLeft := p.recordTimeLeft(q.rule.Name, timeLeft)
 	if !outgoing.Nested && timeLeft < maxTimeout {
-		q.elapsed = maxLeft - timeLeft
+		q.elapsed = p.timeElapsed(q.rule.Name, timeLeft)
 	}
 	target := q.rule.TargetLatency
 	if target <= 0 {
@@ -132,13 +132,16 @@
 	q.outgoing = outgoing
 }
 
-// recordTimeLeft returns the longest time left that a request of the rule came with.
-func (p *Proxy) recordTimeLeft(rule string, timeLeft time.Duration) time.Duration {
+// timeElapsed returns how long the caller of a request of the rule has waited already.
+func (p *Proxy) timeElapsed(rule string, timeLeft time.Duration) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	longest := max(p.maxTimeLeft[rule], timeLeft)
-	p.maxTimeLeft[rule] = longest
-	return longest
+	limit := p.timeLimits[rule]
+	if limit == nil {
+		limit = &beryltimelimit.Estimator{}
+		p.timeLimits[rule] = limit
+	}
+	return limit.Elapsed(timeLeft)
 }
 
 // admit chooses the service of a request and applies the rate limit of its workspace.
--- a/io/berylproxy/proxy.go
+++ b/io/berylproxy/proxy.go
@@ -12,6 +12,7 @@
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylretries"
 	"berylspan/core/berylsplitter"
+	"berylspan/core/beryltimelimit"
 	"berylspan/core/beryltracker"
 	"berylspan/io/berylgossip"
 	"berylspan/io/berylratelimiter"
@@ -55,7 +56,7 @@
 	tracker      *beryltracker.Tracker
 	splitters    map[string]*berylsplitter.Splitter
 	retryBudgets map[string]*berylretries.Budget
-	maxTimeLeft  map[string]time.Duration // by rule, largest time left on arrival, taken as what root requests start with
+	timeLimits   map[string]*beryltimelimit.Estimator // of root requests, by rule
 	peers        map[string]berylgossip.Peer
 	remoteSends  map[*remoteSend]struct{}
 	fleetSize    int // instances that take requests
@@ -80,7 +81,7 @@
 	p.tracker = beryltracker.New()
 	p.splitters = map[string]*berylsplitter.Splitter{}
 	p.retryBudgets = map[string]*berylretries.Budget{}
-	p.maxTimeLeft = map[string]time.Duration{}
+	p.timeLimits = map[string]*beryltimelimit.Estimator{}
 	p.peers = map[string]berylgossip.Peer{}
 	p.remoteSends = map[*remoteSend]struct{}{}
 	p.fleetSize = 1
