--- a/io/berylapp/commands.go
+++ b/io/berylapp/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,8 @@
 	"net/url"
 	"os"
 	"runtime/debug"
+	"slices"
+	"strings"
 	"time"
 
 	"berylspan/core/berylconfig"
@@ -165,6 +168,10 @@
 	}
 	run := func() (int, error) { return beryldemo.Run(ctx, opt) }
 	if opt.Case == "http" && a.demoHTTP != nil {
+		if unused := flagsWithout(fs, "case", "seed", "for"); len(unused) > 0 {
+			a.complain("demo -case http does not take %s", strings.Join(unused, ", "))
+			return Usage
+		}
 		run = func() (int, error) { return a.demoHTTP(ctx, a.out, opt.For, opt.Seed) }
 	}
 	violations, err := run()
@@ -178,6 +185,17 @@
 	return OK
 }
 
+// flagsWithout returns the flags that were set on the command line, except those named.
+func flagsWithout(fs *flag.FlagSet, names ...string) []string {
+	var out []string
+	fs.Visit(func(f *flag.Flag) {
+		if !slices.Contains(names, f.Name) {
+			out = append(out, "-"+f.Name)
+		}
+	})
+	return out
+}
+
 func (a *App) version(context.Context, []string) int {
 	version := "unknown"
 	if info, ok := debug.ReadBuildInfo(); ok {
