Stop in order after a panic in a control loop of the Connect mode

Cause: membership, shard ownership and rate limits run in loops of their own; a panic there ended the process and cut off all calls. Their state may be half changed, so they cannot go on either.

Change: the loop ends, the panic is logged with its stack, and the daemon makes a graceful stop with exit code 1.

--- a/io/berylapp/commands.go
+++ b/io/berylapp/commands.go
@@ -49,7 +49,13 @@
 		d.Kill()
 		return Failed
 	}
-	<-ctx.Done()
+	code := OK
+	select {
+	case <-ctx.Done():
+	case <-d.Failed():
+		log.Error().Msg("stopping after a panic in a part that holds control state")
+		code = Failed
+	}
 	stop, cancel := context.WithTimeout(context.Background(), set.Drain)
 	defer cancel()
 	if err := d.Stop(stop); err != nil {
@@ -57,7 +63,7 @@
 		return Failed
 	}
 	log.Info().Msg("stopped")
-	return OK
+	return code
 }
 
 func (a *App) logger(set berylsettings.Settings) zerolog.Logger {
--- a/io/beryldaemon/daemon.go
+++ b/io/beryldaemon/daemon.go
@@ -27,6 +27,7 @@
 	"berylspan/io/berylingress"
 	"berylspan/io/berylloads"
 	"berylspan/io/berylmetrics"
+	"berylspan/io/berylpanic"
 	"berylspan/io/berylpeer"
 	"berylspan/io/berylplatform"
 	"berylspan/io/berylrates"
@@ -69,6 +70,9 @@
 	servers []*berylserver.Server
 	loops   sync.WaitGroup
 	cancel  context.CancelFunc
+	panics  *berylpanic.Guard
+	failed  chan struct{}
+	fail    func() // closes failed
 }
 
 // Policy sets what the daemon controls.
@@ -92,6 +96,8 @@
 	for _, o := range opts {
 		o(d)
 	}
+	d.panics, d.failed = berylpanic.New(log), make(chan struct{})
+	d.fail = sync.OnceFunc(func() { close(d.failed) })
 	d.metrics = berylmetrics.New(d.gauges())
 	if d.guard == nil {
 		d.guard = berylinvariant.New(berylinvariant.OnViolation(d.violated))
@@ -105,6 +111,18 @@
 	return d, nil
 }
 
+// Failed returns a channel that is closed when a part of the daemon that holds control state
+// has panicked. Its state may be half changed, so the daemon must be stopped.
+func (d *Daemon) Failed() <-chan struct{} { return d.failed }
+
+// runLoop runs a loop that holds control state. A panic would otherwise end the process and
+// cut off all calls.
+func (d *Daemon) runLoop(part string, run func()) {
+	if !d.panics.Run(part, run) {
+		d.fail()
+	}
+}
+
 // violated reports a broken invariant; in strict mode it ends the process.
 func (d *Daemon) violated(invariant, text string) {
 	d.metrics.CountViolation(invariant)
@@ -192,9 +210,9 @@
 	}
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	d.cancel = cancel
-	d.loops.Go(func() { d.control.Run(run) })
-	d.loops.Go(func() { d.owner.Run(run) })
-	d.loops.Go(func() { d.rates.Run(run) })
+	d.loops.Go(func() { d.runLoop("membership and configuration", func() { d.control.Run(run) }) })
+	d.loops.Go(func() { d.runLoop("shard owner", func() { d.owner.Run(run) }) })
+	d.loops.Go(func() { d.runLoop("rate limiter", func() { d.rates.Run(run) }) })
 	if err := d.ready(ctx); err != nil {
 		return err
 	}
