Count tokens only from the instances that were asked

Change: lent tokens count only from the host that the request was sent to, those between data centres only from instances of the lending one.

--- a/io/berylratelimiter/ratelimiter.go
+++ b/io/berylratelimiter/ratelimiter.go
@@ -129,11 +129,13 @@
 	if len(m.ZoneRequested) > 0 {
 		l.lendToZone(now, from, m, findAccount)
 	}
+	// Tokens count only from the instances that were asked: any host can send a datagram, and
+	// tokens that no lender has given would exceed the rate.
 	for workspace, n := range m.ZoneLent {
-		l.handleZoneReply(now, workspace, n, time.Duration(m.RetryAfterMs[workspace])*time.Millisecond)
+		l.handleZoneReply(now, from, workspace, n, time.Duration(m.RetryAfterMs[workspace])*time.Millisecond)
 	}
 	for workspace, n := range m.Lent {
-		if c := l.caches[workspace]; c != nil && c.pending {
+		if c := l.caches[workspace]; c != nil && c.pending && c.asked == from {
 			l.handleReply(now, c, n, time.Duration(m.RetryAfterMs[workspace])*time.Millisecond)
 		}
 	}
--- a/io/berylratelimiter/tokencache.go
+++ b/io/berylratelimiter/tokencache.go
@@ -16,6 +16,7 @@
 	expiresAt    time.Time // of all tokens
 	requestedAt  time.Time
 	pending      bool          // the last request has no reply yet
+	asked        string        // host that the last request was sent to
 	waitingCount int           // requests of callers that wait for a token
 	deniedUntil  time.Time     // the lender has no tokens before
 	replied      chan struct{} // closed and replaced at every reply
@@ -148,7 +149,7 @@
 			return
 		}
 	}
-	c.pending, c.requestedAt = true, now
+	c.pending, c.requestedAt, c.asked = true, now, lender
 	if lender != l.host {
 		l.send(lender, Message{Requested: map[string]int{workspace: want}})
 	}
--- a/io/berylratelimiter/zoneborrower.go
+++ b/io/berylratelimiter/zoneborrower.go
@@ -1,6 +1,7 @@
 package berylratelimiter
 
 import (
+	"slices"
 	"time"
 
 	"berylspan/core/berylaccount"
@@ -105,10 +106,10 @@
 // handleZoneReply adds the tokens of the lending data centre and replies to the waiting
 // instances. The fallback bucket is dropped, as the own share of the rate only counts
 // while the lending data centre does not reply.
-func (l *RateLimiter) handleZoneReply(now time.Time, workspace string, n int, wait time.Duration) {
+func (l *RateLimiter) handleZoneReply(now time.Time, from, workspace string, n int, wait time.Duration) {
 	b := l.borrowers[workspace]
-	if b == nil {
-		return // This instance no longer borrows for the workspace.
+	if b == nil || !slices.Contains(b.lendingHosts, from) {
+		return // This instance no longer borrows for the workspace, or not from there.
 	}
 	delete(l.lenders, workspace)
 	b.HandleReply(now, n, wait)
