Name the late request's way out of the queue and keep one error for panics

Reading of the diff: the branch of Next that puts a late request back made up a Request to ask for its wait; expectedWait takes the rank instead. Three packages had an error of their own for a panic. No change of behaviour.

--- a/core/beryladmission/controller.go
+++ b/core/beryladmission/controller.go
@@ -51,8 +51,8 @@
 	serviceTimes       map[string]float64 // moving mean by kind, seconds
 	overallServiceTime float64            // moving mean over all kinds, seconds
 	nestedShare        float64            // moving mean of the fraction of slots that nested calls use
-	newWorkDemand      *demand
-	seq                uint64 // orders requests of equal rank by arrival
+	newWorkDemand      *demand            // slots that accepted new work takes
+	seq                uint64             // orders requests of equal rank by arrival
 }
 
 const (
@@ -104,11 +104,15 @@
 	if c.running < c.limit && c.noneWaiting() {
 		return 0
 	}
-	rank := effectiveRank(r)
+	return c.expectedWait(now, effectiveRank(r), r.Nested)
+}
+
+// expectedWait estimates how long a request of the effective rank waits until it starts.
+func (c *Controller[T]) expectedWait(now time.Time, rank int, nested bool) time.Duration {
 	limit := float64(c.limit)
 	ahead, slots := c.nested, limit
 	switch {
-	case !r.Nested:
+	case !nested:
 		ahead = c.newWork
 		slots = max(limit*max(1-c.nestedShare, newWorkShare)-c.newWorkDemand.above(now, rank), limit*minRankShare)
 	case len(c.newWork) > 0:
@@ -121,7 +125,7 @@
 		}
 	}
 	wait := work / slots
-	if !r.Nested {
+	if !nested {
 		// The number of more important requests that arrive during the wait varies like its
 		// square root.
 		wait += arrivalDeviations * math.Sqrt(c.newWorkDemand.above(now, rank)*wait*c.overallServiceTime) / slots
@@ -229,20 +233,18 @@
 		if now.Add(serviceTime / 2).After(e.deadline) {
 			return e.value, true, true
 		}
-		if !e.late && !e.request.Nested && len(*q) > 0 && now.Add(serviceTime).After(e.target) {
-			// It runs when no new work that can be in time is left, if that is likely to
-			// happen before its deadline.
-			e.late = true
-			e.rank += lateRankPenalty
-			late := Request{Rank: e.rank, Kind: e.request.Kind, TimeToTarget: 1}
-			if now.Add(c.ExpectedWait(now, late) + serviceTime).After(e.deadline) {
-				return e.value, true, true
-			}
-			heap.Push(q, e)
-			continue
+		if e.late || e.request.Nested || len(*q) == 0 || !now.Add(serviceTime).After(e.target) {
+			c.begin(e.request)
+			return e.value, false, true
+		}
+		// It will be late, so it runs when no new work that can be in time is left, if that is
+		// likely to happen before its deadline.
+		e.late = true
+		e.rank += lateRankPenalty
+		if now.Add(c.expectedWait(now, e.rank, false) + serviceTime).After(e.deadline) {
+			return e.value, true, true
 		}
-		c.begin(e.request)
-		return e.value, false, true
+		heap.Push(q, e)
 	}
 }
 
--- a/io/berylconnpool/pool.go
+++ b/io/berylconnpool/pool.go
@@ -41,7 +41,7 @@
 
 // Guard sets the function that runs the writing of a streamed request body and reports
 // whether it returned without a panic. After a panic the connection is closed.
-func Guard(f func(part string, f func()) bool) func(*Pool) { return func(p *Pool) { p.guard = f } }
+func Guard(run func(part string, f func()) bool) func(*Pool) { return func(p *Pool) { p.guard = run } }
 
 // New returns a pool for the backend server at addr.
 func New(addr string, names berylheadernames.Names, opts ...func(*Pool)) *Pool {
--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -13,6 +13,7 @@
 	"berylspan/core/berylhopheaders"
 	"berylspan/io/berylbody"
 	"berylspan/io/beryllimitedreader"
+	"berylspan/io/berylpanic"
 	"berylspan/io/berylreply"
 )
 
@@ -145,7 +146,7 @@
 	}
 	e.bodyWritten = make(chan error, 1)
 	go func() { // Ends at the latest when the connection is closed.
-		err := errPanicked
+		err := berylpanic.ErrPanic
 		if !e.pool.guard("request body", func() { err = e.writeBody(chunked) }) {
 			e.conn.close()
 		}
@@ -196,7 +197,6 @@
 
 var (
 	errNoMatch  = errors.New("no response has the id of the request")            //nolint:gochecknoglobals // A sentinel.
-	errPanicked = errors.New("panic while the request body was written")         //nolint:gochecknoglobals // A sentinel.
 	errOverlong = errors.New("answer to another request exceeds its size limit") //nolint:gochecknoglobals // A sentinel.
 )
 
--- a/io/berylgossip/gossip.go
+++ b/io/berylgossip/gossip.go
@@ -55,7 +55,9 @@
 
 // Guard sets the function that runs the handling of one datagram and reports whether it
 // returned without a panic.
-func Guard(f func(part string, f func()) bool) func(*Gossip) { return func(g *Gossip) { g.guard = f } }
+func Guard(run func(part string, f func()) bool) func(*Gossip) {
+	return func(g *Gossip) { g.guard = run }
+}
 
 // Run receives messages until the socket is closed.
 func (g *Gossip) Run(ctx context.Context) {
--- a/io/berylhttpserver/server.go
+++ b/io/berylhttpserver/server.go
@@ -46,7 +46,9 @@
 
 // Guard sets the function that runs the handling of one connection or request and reports
 // whether it returned without a panic. After a panic the connection is closed.
-func Guard(f func(part string, f func()) bool) func(*Server) { return func(s *Server) { s.guard = f } }
+func Guard(run func(part string, f func()) bool) func(*Server) {
+	return func(s *Server) { s.guard = run }
+}
 
 // New returns a server for ln. Run must be called to start it.
 func New(ln net.Listener, handle func(context.Context, *Request) *Answer, mustRunInOrder func(*Request) bool, limits func() Limits, opts ...func(*Server)) *Server {
--- a/io/berylmesh/mesh.go
+++ b/io/berylmesh/mesh.go
@@ -44,9 +44,7 @@
 
 // Guard sets the function that runs the handling of one connection from another instance
 // and reports whether it returned without a panic. After a panic the connection is closed.
-func Guard(f func(part string, f func()) bool) func(*Mesh) { return func(m *Mesh) { m.guard = f } }
-
-var errPanicked = errors.New("panic while the request body was sent") //nolint:gochecknoglobals // Sentinel error.
+func Guard(run func(part string, f func()) bool) func(*Mesh) { return func(m *Mesh) { m.guard = run } }
 
 // New returns a mesh without connections. names holds the names of the headers that it
 // handles itself.
@@ -209,10 +207,10 @@
 		return written
 	}
 	go func() { // Ends at the latest when the connection is closed and the stream has ended.
-		err := errPanicked
+		err := berylpanic.ErrPanic
 		m.guard("request body", func() { err = c.writeChunks(req.Stream) })
 		var source sourceError
-		if errors.As(err, &source) || errors.Is(err, errPanicked) {
+		if errors.As(err, &source) || errors.Is(err, berylpanic.ErrPanic) {
 			c.close() // The instance must not take the incomplete body for a complete one.
 		}
 		written <- err
--- a/io/berylpanic/guard.go
+++ b/io/berylpanic/guard.go
@@ -3,11 +3,15 @@
 package berylpanic
 
 import (
+	"errors"
 	"runtime/debug"
 
 	"github.com/rs/zerolog"
 )
 
+// ErrPanic stands for the result of a function that panicked. The panic itself is in the log.
+var ErrPanic = errors.New("panic while one input was handled") //nolint:gochecknoglobals // A sentinel.
+
 // Guard runs functions that handle one input each: a request, a datagram, a snapshot. It is
 // safe for concurrent use.
 type Guard struct {
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -63,7 +63,9 @@
 
 // Guard sets the function that runs what the runner starts in further goroutines and reports
 // whether it returned without a panic.
-func Guard(f func(part string, f func()) bool) func(*Runner) { return func(r *Runner) { r.guard = f } }
+func Guard(run func(part string, f func()) bool) func(*Runner) {
+	return func(r *Runner) { r.guard = run }
+}
 
 // New returns a runner for the backend server at addr. listEntry returns its entry in
 // the published list, false while that is unknown.
--- a/io/berylstorecache/peers.go
+++ b/io/berylstorecache/peers.go
@@ -6,6 +6,7 @@
 
 	"berylspan/core/berylhistory"
 	"berylspan/core/berylregistration"
+	"berylspan/io/berylpanic"
 )
 
 // Snapshot returns a snapshot for an instance that already has known. It leaves out a
@@ -95,7 +96,7 @@
 		var snapshot *Snapshot
 		var err error
 		if !c.guard(panicPart, func() { snapshot, err = c.fetch(fetchCtx, addr, known) }) {
-			err = errPanicked
+			err = berylpanic.ErrPanic
 		}
 		// Fails only after Run has ended.
 		_ = c.loop.Post(ctx, func() { c.guarded(func() { c.handleSnapshot(addr, known, snapshot, err) }) })
--- a/io/berylstorecache/startup.go
+++ b/io/berylstorecache/startup.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"berylspan/core/berylregistration"
+	"berylspan/io/berylpanic"
 )
 
 // startupTimeout bounds how long a started instance waits for other instances before it uses
@@ -33,7 +34,7 @@
 	replies := make(chan reply, len(addrs))
 	for _, addr := range addrs {
 		go func() { // Ends within startupTimeout.
-			r := reply{addr: addr, err: errPanicked}
+			r := reply{addr: addr, err: berylpanic.ErrPanic}
 			c.guard(panicPart, func() { r.snapshot, r.err = c.fetch(ctx, addr, KnownVersions{}) })
 			replies <- r
 		}()
--- a/io/berylstorecache/storecache.go
+++ b/io/berylstorecache/storecache.go
@@ -110,8 +110,8 @@
 
 // Guard sets the function that runs the handling of one read or snapshot and reports whether
 // it returned without a panic. After a panic the whole list is read again.
-func Guard(f func(part string, f func()) bool) func(*StoreCache) {
-	return func(c *StoreCache) { c.guard = f }
+func Guard(run func(part string, f func()) bool) func(*StoreCache) {
+	return func(c *StoreCache) { c.guard = run }
 }
 
 // New returns an empty cache. It reads nothing before Run.
@@ -141,8 +141,6 @@
 
 const panicPart = "published lists" // in logs and metrics
 
-var errPanicked = errors.New("panic while the answer was read") //nolint:gochecknoglobals // A sentinel.
-
 // guarded runs a function of the loop. The state is replaced as a whole, so that a panic
 // leaves the previous one. What the loop knows of reads is reset.
 func (c *StoreCache) guarded(f func()) {
@@ -193,7 +191,7 @@
 		}
 	})
 	if !returned {
-		err = errPanicked
+		err = berylpanic.ErrPanic
 	}
 	var snapshots map[string]*Snapshot
 	if err == nil && c.State().Config == nil {
