--- a/io/berylrates/limiter.go
+++ b/io/berylrates/limiter.go
@@ -38,10 +38,10 @@
 	cancel   context.CancelFunc
 	fetches  sync.WaitGroup
 
-	mu     sync.Mutex
-	cache  *beryltokencache.TokenCache
-	ended  map[string]*tokenFetch // by workspace; the request for its tokens that ends next
-	owners map[zoneShard]string   // IDs of the instances to send the next requests to
+	mu      sync.Mutex
+	cache   *beryltokencache.TokenCache
+	awaited map[string]*tokenFetch // by workspace; the next request for its tokens to end
+	owners  map[zoneShard]string   // IDs of the instances to send the next requests to
 }
 
 // tokenFetch is a request for tokens that calls wait for. answered may be read once done
@@ -81,7 +81,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		cache:    beryltokencache.New(beryltiming.Default(), rand.Uint64),
-		ended:    map[string]*tokenFetch{},
+		awaited:  map[string]*tokenFetch{},
 		owners:   map[zoneShard]string{},
 	}
 	for _, opt := range opts {
@@ -208,10 +208,10 @@
 
 // nextFetch returns the request for tokens of workspace that ends next.
 func (l *Limiter) nextFetch(workspace string) *tokenFetch {
-	f := l.ended[workspace]
+	f := l.awaited[workspace]
 	if f == nil {
 		f = &tokenFetch{done: make(chan struct{})}
-		l.ended[workspace] = f
+		l.awaited[workspace] = f
 	}
 	return f
 }
@@ -269,10 +269,10 @@
 		batch := reply.Batches[0]
 		l.cache.HandleBatch(now, req.Workspace, zone, beryltokenbatch.Batch{ID: batch.Id, Tokens: batch.N, TTL: time.Duration(batch.Life), FleetDemand: batch.Demand})
 	}
-	if f := l.ended[req.Workspace]; f != nil {
+	if f := l.awaited[req.Workspace]; f != nil {
 		f.answered = err == nil && reply.Owner
 		close(f.done)
-		delete(l.ended, req.Workspace)
+		delete(l.awaited, req.Workspace)
 	}
 	l.fetchIfDue(req.Workspace)
 }
