--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -221,7 +221,7 @@
 // startupPeerCount is the number of instances that a started one asks for what they know.
 const startupPeerCount = 2
 
-// startupPeers returns the addresses of other instances, chosen at random.
+// startupPeers returns the addresses of random other instances.
 func (s *Sidecar) startupPeers(servers []berylregistration.Registration) []string {
 	set := s.set.Load()
 	var addrs []string
