Log and export what backend servers say about themselves

Cause: the platform's backend servers name in their answers how many requests a second they accept (Server-Limit) and that they are leaving (Server-Leaving).

Change: header names, core/berylserverstatus to parse them, a 'server status' line and two gauges beside the server, 'limit' and 'leaving' in the request line of the instance that passes such an answer on. No decision uses it yet.

--- a/core/berylheadernames/names.go
+++ b/core/berylheadernames/names.go
@@ -15,6 +15,8 @@
 	NotExecuted       string // set if the backend server did not execute the request
 	ServingServer     string // ID of the backend server that responds
 	ServerLoad        string // of the responding server: running requests, waiting requests, slots
+	ServerLimit       string // requests per second, a decimal number, that the responding server accepts from the whole fleet
+	ServerLeaving     string // set to 1 if the responding server is shutting down
 }
 
 // Default returns the default names.
@@ -23,5 +25,6 @@
 		RequestID: "Beryl-Call", TimeLeft: "Beryl-Left", APIKey: "Beryl-Key", Workspace: "Beryl-Workspace",
 		CallerService: "Beryl-Caller", TargetServer: "Beryl-Instance", ResponseSignature: "Beryl-Receipt",
 		NotExecuted: "Beryl-Not-Run", ServingServer: "Beryl-Actual", ServerLoad: "Beryl-Load",
+		ServerLimit: "Beryl-Limit", ServerLeaving: "Beryl-Leaving",
 	}
 }
--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -248,7 +248,7 @@
 		e.reuse = e.reuse && errors.Is(err, io.EOF)
 		e.finish()
 		reply := berylreply.NewFailure(berylattempt.Rejected, berylreply.ReasonRejected)
-		reply.Status = resp.StatusCode
+		reply.Status, reply.Header = resp.StatusCode, h
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			reply.Reason, reply.ActualServerID = berylreply.ReasonWrongServer, h.Get(names.ServingServer)
 		}
--- a/io/berylproxy/answer.go
+++ b/io/berylproxy/answer.go
@@ -102,6 +102,12 @@
 	if q.reason != "" {
 		event = event.Str("reason", q.reason)
 	}
+	if limit := a.Header.Get(p.Names.ServerLimit); limit != "" {
+		event = event.Str("limit", limit)
+	}
+	if a.Header.Get(p.Names.ServerLeaving) != "" {
+		event = event.Bool("leaving", true)
+	}
 	if retryAfter := a.Header.Get("Retry-After"); retryAfter != "" {
 		event = event.Str("after", retryAfter)
 	}
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -16,6 +16,7 @@
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylinflight"
 	"berylspan/core/berylregistration"
+	"berylspan/core/berylserverstatus"
 	"berylspan/io/berylconnpool"
 	"berylspan/io/berylpanic"
 	"berylspan/io/berylreply"
@@ -24,10 +25,11 @@
 
 // Runner runs requests on the local backend server. It is safe for concurrent use.
 type Runner struct {
-	names        berylheadernames.Names
-	listEntry    func() (berylregistration.Registration, bool) // entry of the backend server in the published list, false while unknown
-	onRequestEnd func(req *berylrequest.Request, queueTime time.Duration, reply *berylreply.Reply)
-	guard        func(part string, f func()) bool
+	names          berylheadernames.Names
+	listEntry      func() (berylregistration.Registration, bool) // entry of the backend server in the published list, false while unknown
+	onRequestEnd   func(req *berylrequest.Request, queueTime time.Duration, reply *berylreply.Reply)
+	guard          func(part string, f func()) bool
+	onServerStatus func(serverID string, status berylserverstatus.Status, err error)
 
 	mu             sync.Mutex
 	pool           *berylconnpool.Pool
@@ -41,6 +43,9 @@
 	abandoned      int       // requests that the server still has after they were given up here
 	loadReportedAt time.Time // when abandoned was determined
 	shuttingDown   bool
+	lifetime       berylregistration.Registration // list entry of the run of the server that status belongs to
+	status         berylserverstatus.Status       // what the server last said about itself
+	malformedLimit string                         // last limit that could not be read
 }
 
 // waiter is a request that waits for a slot.
@@ -72,13 +77,14 @@
 func New(addr string, names berylheadernames.Names, listEntry func() (berylregistration.Registration, bool), opts ...func(*Runner)) *Runner {
 	r := &Runner{
 		names: names, listEntry: listEntry, addr: addr,
-		onRequestEnd: func(*berylrequest.Request, time.Duration, *berylreply.Reply) {},
-		guard:        berylpanic.Unguarded,
-		admission:    beryladmission.New[*waiter](initialLimit),
-		callGraph:    berylcallgraph.New(),
-		limiter:      berylinflight.New(),
-		running:      map[string]int{},
-		ranks:        map[string]int{},
+		onRequestEnd:   func(*berylrequest.Request, time.Duration, *berylreply.Reply) {},
+		guard:          berylpanic.Unguarded,
+		onServerStatus: func(string, berylserverstatus.Status, error) {},
+		admission:      beryladmission.New[*waiter](initialLimit),
+		callGraph:      berylcallgraph.New(),
+		limiter:        berylinflight.New(),
+		running:        map[string]int{},
+		ranks:          map[string]int{},
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -171,6 +177,9 @@
 		reply.ActualServerID = entry.ID
 		return reply
 	}
+	if known {
+		r.trackLifetime(entry)
+	}
 	if known && entry.Slots > 0 && entry.Slots != r.slots {
 		r.slots = entry.Slots
 	}
@@ -280,6 +289,7 @@
 	}
 	if reply.Header != nil {
 		r.recordServerLoad(reply.Header.Get(r.names.ServerLoad))
+		r.recordStatus(req.ServerID, reply.Header)
 	}
 	returned = true
 	return reply
--- a/io/berylsidecar/meter.go
+++ b/io/berylsidecar/meter.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"berylspan/core/berylserverstatus"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
@@ -51,6 +53,27 @@
 
 func (m *meter) panicked(part string) { m.panics.WithLabelValues(part).Inc() }
 
+const noServerLimit = -1 // 0 is a limit
+
+// watchServer adds gauges of what the backend server beside says about itself.
+func (m *meter) watchServer(status func() berylserverstatus.Status) {
+	m.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "server_limit", Help: "Requests per second that the backend server beside the instance says it accepts, -1 while it names no limit.",
+	}, func() float64 {
+		if s := status(); s.Limited {
+			return s.Limit
+		}
+		return noServerLimit
+	}), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "server_leaving", Help: "1 once the backend server beside the instance has said that it is shutting down.",
+	}, func() float64 {
+		if status().Leaving {
+			return 1
+		}
+		return 0
+	}))
+}
+
 func (m *meter) request(workspace, rule string, status int, reason string, took time.Duration) {
 	m.requests.WithLabelValues(workspace, rule).Observe(took.Seconds())
 	m.ends.WithLabelValues(rule, strconv.Itoa(status), reason).Inc()
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"berylspan/core/berylramp"
 	"berylspan/core/berylregistration"
 	"berylspan/core/berylreserve"
+	"berylspan/core/berylserverstatus"
 	"berylspan/io/berylclock"
 	"berylspan/io/berylgossip"
 	"berylspan/io/berylhttpserver"
@@ -95,7 +96,8 @@
 		Log:         log,
 		Observe:     s.meter.request,
 	})
-	s.beside = berylrunner.New(set.Backend, names, s.own, berylrunner.OnRequestEnd(s.seen), berylrunner.Guard(s.guard.Run))
+	s.beside = berylrunner.New(set.Backend, names, s.own, berylrunner.OnRequestEnd(s.seen), berylrunner.OnServerStatus(s.serverStatus), berylrunner.Guard(s.guard.Run))
+	s.meter.watchServer(s.beside.ServerStatus)
 	return s
 }
 
@@ -290,4 +292,13 @@
 		Dur("waited", waited).Int("busy", out.Busy).Int("limit", out.Limit).Dur("hold", out.MeanServiceTime).Msg("work")
 }
 
+// serverStatus logs what the backend server beside says about itself.
+func (s *Sidecar) serverStatus(serverID string, status berylserverstatus.Status, err error) {
+	if err != nil {
+		s.log.Warn().Err(err).Str("server", serverID).Msg("server status ignored")
+		return
+	}
+	s.log.Info().Str("server", serverID).Bool("limited", status.Limited).Float64("limit", status.Limit).Bool("leaving", status.Leaving).Msg("server status")
+}
+
 const logWait = 50 * time.Millisecond // work that waited longer is logged even when it went well
