Keep to the request rate that a backend server names

Callers saw nothing; a server in need that named the rate it accepts in Server-Limit got as many requests as before.

Cause: the only signals that admission control took from a backend server were its slots (published list) and its load; the rate that it accepts was not among them. Class: a back-pressure signal of a neighbour that nothing acts on. Ruled out with the 'server status' and 'request' lines: several instances each keeping to the limit (one instance sees all requests to a server), and loss with the restart at 13 s (the bound broke from 9 s on).

Fix: core/berylpacer spaces the starts beside the server, where all requests to it pass; the admission queue, its expected wait and the concurrency limit that placement reads use the slots that the rate is worth (Little's law), so that others are chosen first, important work goes first and the rest is refused at once with the time until there is room. The limit ends with the first signed answer that names none. An instance that passes on requests adds the limit that it knows, so that a daemon restarted beside a limited server keeps to it before the first answer.

--- a/core/beryladmission/controller.go
+++ b/core/beryladmission/controller.go
@@ -7,12 +7,17 @@
 // is refused on arrival rather than after it has waited. The expected wait allows for
 // the more important requests that will arrive meanwhile: under a surge, less important
 // work that is queued without regard to them is answered late.
+//
+// A server may also name the request rate that it accepts. Requests beyond it are queued and
+// refused in the same way: a rate is worth as many slots as requests run at that rate.
 package beryladmission
 
 import (
 	"container/heap"
 	"math"
 	"time"
+
+	"berylspan/core/berylpacer"
 )
 
 // Request describes a request to the admission control. Rank orders waiting
@@ -43,6 +48,7 @@
 // the caller's handle for a waiting request. It is not safe for concurrent use.
 type Controller[T any] struct {
 	limit              int
+	pacer              berylpacer.Pacer // of the starts, while the server names a rate
 	running            int
 	nestedRunning      int                // running requests that are nested calls
 	newWork            queue[T]           // waiting new work
@@ -58,6 +64,7 @@
 const (
 	smoothing          = 0.05  // weight of the newest sample in a moving mean
 	initialServiceTime = 0.05  // seconds; assumed until a request has run
+	minServiceTime     = 0.005 // seconds, in estimates of waits
 	tailFactor         = 1.4   // ratio of the service time that most requests stay within to the mean
 	maxQueuedPerSlot   = 40    // waiting requests per slot, for each queue; the expected wait normally limits the queue long before
 	minQueueCapacity   = 32    // waiting requests that each queue may always hold
@@ -76,10 +83,41 @@
 // SetLimit changes how many requests may run concurrently.
 func (c *Controller[T]) SetLimit(n int) { c.limit = max(n, 1) }
 
+// SetRate limits the requests that start to a rate per second.
+func (c *Controller[T]) SetRate(now time.Time, perSecond float64) { c.pacer.SetRate(now, perSecond) }
+
+// ClearRate ends the limit of SetRate.
+func (c *Controller[T]) ClearRate() { c.pacer.Off() }
+
 // State returns the number of running requests, the number of waiting requests
-// and the concurrency limit.
+// and the concurrency limit. While a rate is set, the limit is the number of requests
+// that run at that rate.
 func (c *Controller[T]) State() (running, waiting, limit int) {
-	return c.running, len(c.newWork) + len(c.nested), c.limit
+	return c.running, len(c.newWork) + len(c.nested), max(1, int(math.Round(c.slots())))
+}
+
+// slots returns the number of requests that the server can run at once, by Little's law
+// less than the concurrency limit while a rate is set.
+func (c *Controller[T]) slots() float64 {
+	slots := float64(c.limit)
+	if rate, ok := c.pacer.Rate(); ok {
+		return min(slots, rate*max(c.overallServiceTime, minServiceTime))
+	}
+	return slots
+}
+
+// mayStart reports whether there is a slot, and a start within the rate, for a request.
+func (c *Controller[T]) mayStart(now time.Time) bool {
+	return c.running < c.limit && c.pacer.Wait(now) == 0
+}
+
+// NextStart returns how long it takes until the rate lets a waiting request start. ok is
+// false if none waits or all slots are in use.
+func (c *Controller[T]) NextStart(now time.Time) (wait time.Duration, ok bool) {
+	if c.noneWaiting() || c.running >= c.limit {
+		return 0, false
+	}
+	return c.pacer.Wait(now), true
 }
 
 // MeanServiceTime returns the moving mean of the time for which requests of a kind
@@ -102,14 +140,14 @@
 // ExpectedWait estimates how long a request that arrives now would wait.
 func (c *Controller[T]) ExpectedWait(now time.Time, r Request) time.Duration {
 	if c.running < c.limit && c.noneWaiting() {
-		return 0
+		return c.pacer.Wait(now)
 	}
 	return c.expectedWait(now, effectiveRank(r), r.Nested)
 }
 
 // expectedWait estimates how long a request of the effective rank waits until it starts.
 func (c *Controller[T]) expectedWait(now time.Time, rank int, nested bool) time.Duration {
-	limit := float64(c.limit)
+	limit := c.slots()
 	ahead, slots := c.nested, limit
 	switch {
 	case !nested:
@@ -118,7 +156,7 @@
 	case len(c.newWork) > 0:
 		slots = limit * (1 - newWorkShare)
 	}
-	work := max(c.overallServiceTime, initialServiceTime/10)
+	work := max(c.overallServiceTime, minServiceTime)
 	for i := range ahead {
 		if ahead[i].rank <= rank {
 			work += c.serviceTimeOf(ahead[i].request.Kind)
@@ -140,9 +178,9 @@
 // of how long it takes until there may be room.
 func (c *Controller[T]) Arrive(now time.Time, r Request, v T) (Decision, time.Duration) {
 	c.updateNestedShare()
-	if c.running < c.limit && c.noneWaiting() {
+	if c.noneWaiting() && c.mayStart(now) {
 		c.accept(now, r)
-		c.begin(r)
+		c.begin(now, r)
 		return Start, 0
 	}
 	wait := c.ExpectedWait(now, r)
@@ -186,7 +224,8 @@
 	return r.Rank
 }
 
-func (c *Controller[T]) begin(r Request) {
+func (c *Controller[T]) begin(now time.Time, r Request) {
+	c.pacer.Take(now)
 	c.running++
 	if r.Nested {
 		c.nestedRunning++
@@ -194,7 +233,7 @@
 }
 
 func (c *Controller[T]) updateNestedShare() {
-	c.nestedShare += smoothing * (float64(c.nestedRunning)/float64(c.limit) - c.nestedShare)
+	c.nestedShare += smoothing * (min(float64(c.nestedRunning)/c.slots(), 1) - c.nestedShare)
 }
 
 // Done records that a request ended. took updates the moving means only if the
@@ -221,9 +260,9 @@
 
 // Next removes the next request from the queues. The request starts now, unless
 // expired is set: then it can no longer finish before its deadline. ok is false
-// when no request waits or all slots are in use.
+// when no request waits, all slots are in use or the rate does not let one start.
 func (c *Controller[T]) Next(now time.Time) (v T, expired, ok bool) {
-	if c.noneWaiting() || c.running >= c.limit {
+	if c.noneWaiting() || !c.mayStart(now) {
 		return v, false, false
 	}
 	q := c.nextQueue()
@@ -234,7 +273,7 @@
 			return e.value, true, true
 		}
 		if e.late || e.request.Nested || len(*q) == 0 || !now.Add(serviceTime).After(e.target) {
-			c.begin(e.request)
+			c.begin(now, e.request)
 			return e.value, false, true
 		}
 		// It will be late, so it runs when no new work that can be in time is left, if that is
--- a/core/berylserverstatus/status.go
+++ b/core/berylserverstatus/status.go
@@ -37,3 +37,13 @@
 	s.Limited, s.Limit = true, n
 	return s, nil
 }
+
+// Update returns the status after an answer that describes next. complete tells whether the
+// absence of a limit means that there is none; a server that is leaving does not come back.
+func (s Status) Update(next Status, complete bool) Status {
+	if !next.Limited && !complete {
+		next.Limited, next.Limit = s.Limited, s.Limit
+	}
+	next.Leaving = next.Leaving || s.Leaving
+	return next
+}
--- a/core/beryltracker/tracker.go
+++ b/core/beryltracker/tracker.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"berylspan/core/berylplacement"
+	"berylspan/core/berylserverstatus"
 )
 
 // Tracker holds the state of instances by the ID of their backend server. It is
@@ -29,6 +30,8 @@
 	throttledUntil   map[string]time.Time // by rule, until when no new requests of it are sent
 	suspectUntil     time.Time
 	failures         int // in a row, without those while the instance was suspect
+	status           berylserverstatus.Status // what the server said in its last answer
+	statusOf         int64                    // start of the run of the server that said it
 	lastUsed         time.Time
 	lastSent         time.Time
 }
@@ -83,6 +86,21 @@
 	}
 }
 
+// StatusReported records what a server said about itself in an answer. born is the start of
+// its run.
+func (t *Tracker) StatusReported(now time.Time, id string, born int64, status berylserverstatus.Status) {
+	in := t.get(now, id)
+	in.status, in.statusOf = status, born
+}
+
+// Status returns what a run of a server said about itself in its last answer.
+func (t *Tracker) Status(id string, born int64) berylserverstatus.Status {
+	if in := t.instances[id]; in != nil && in.statusOf == born {
+		return in.status
+	}
+	return berylserverstatus.Status{}
+}
+
 // Throttled records that an instance refused a new request of a rule because it
 // limits the concurrency of that rule.
 func (t *Tracker) Throttled(now time.Time, id, rule string) {
--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -21,6 +21,7 @@
 // contains too and the server returns in its answer. Header must not contain hop-by-hop
 // fields. The body is Body, followed by Stream if that is not nil; Length is that of the
 // whole body, or -1 if unknown. NonIdempotent is set if the request must not run twice.
+// OnHeader may be nil.
 type Request struct {
 	Method        string
 	URI           string
@@ -31,6 +32,7 @@
 	Stream        io.Reader
 	Length        int64
 	NonIdempotent bool
+	OnHeader      func(h http.Header) // called with the header of the answer before the server counts as finished
 }
 
 const (
@@ -243,12 +245,15 @@
 	h := resp.Header
 	names := &e.pool.names
 	e.recordReuse(resp)
+	if e.request.OnHeader != nil {
+		e.request.OnHeader(h)
+	}
 	if h.Get(names.NotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
 		_, err := io.CopyN(io.Discard, resp.Body, maxBufferedAnswer)
 		e.reuse = e.reuse && errors.Is(err, io.EOF)
 		e.finish()
 		reply := berylreply.NewFailure(berylattempt.Rejected, berylreply.ReasonRejected)
-		reply.Status, reply.Header = resp.StatusCode, h
+		reply.Status = resp.StatusCode
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			reply.Reason, reply.ActualServerID = berylreply.ReasonWrongServer, h.Get(names.ServingServer)
 		}
--- a/io/berylmesh/message.go
+++ b/io/berylmesh/message.go
@@ -22,7 +22,7 @@
 	fieldHost       = ":h"
 	fieldID         = ":i"
 	fieldRule       = ":r" // rule, service, flags (r: idempotent, c: nested call), rank and importance
-	fieldServer     = ":t" // id and start time of the backend server
+	fieldServer     = ":t" // id and start time of the backend server, and the limit that it named if any
 	fieldWorkspace  = ":w"
 	fieldCaller     = ":c"
 	fieldDeadlines  = ":d" // milliseconds left until the deadline and until the target time
@@ -49,7 +49,11 @@
 		flags += "c"
 	}
 	c.writeField(fieldRule, req.Rule+" "+req.Service+" "+flags+" "+strconv.Itoa(req.Rank)+" "+strconv.Itoa(req.Importance), true)
-	c.writeField(fieldServer, req.ServerID+" "+strconv.FormatInt(req.ServerStartMs, 10), true)
+	server := req.ServerID + " " + strconv.FormatInt(req.ServerStartMs, 10)
+	if req.ServerLimited {
+		server += " " + strconv.FormatFloat(req.ServerLimit, 'f', -1, 64)
+	}
+	c.writeField(fieldServer, server, true)
 	c.writeField(fieldWorkspace, req.Workspace, true)
 	c.writeField(fieldCaller, req.Caller, true)
 	c.writeField(fieldDeadlines, strconv.FormatInt(req.Deadline.Sub(now).Milliseconds(), 10)+" "+strconv.FormatInt(req.TargetTime.Sub(now).Milliseconds(), 10), false)
@@ -114,8 +118,10 @@
 			req.Rule, req.Service, req.Rank, req.Importance = v[0], v[1], int(parseInt(v[3])), int(parseInt(v[4]))
 			req.Idempotent, req.Nested = strings.Contains(v[2], "r"), strings.Contains(v[2], "c")
 		case fieldServer:
-			v := splitWords(f.Value, 2)
+			v := splitWords(f.Value, 3)
 			req.ServerID, req.ServerStartMs = v[0], parseInt(v[1])
+			limit, err := strconv.ParseFloat(v[2], 64) // Fails if the field has no third word.
+			req.ServerLimit, req.ServerLimited = limit, err == nil && limit >= 0
 		case fieldWorkspace:
 			req.Workspace = f.Value
 		case fieldCaller:
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -11,6 +11,7 @@
 	"berylspan/core/berylplacement"
 	"berylspan/core/berylregistration"
 	"berylspan/core/berylretries"
+	"berylspan/core/berylserverstatus"
 	"berylspan/io/berylhttpserver"
 	"berylspan/io/berylreply"
 )
@@ -49,7 +50,7 @@
 		q.attempts++
 		q.serverID = to.ID
 		st.tried[to.ID] = true
-		q.outgoing.ServerID, q.outgoing.ServerStartMs = to.ID, to.Born
+		p.setServer(q, to)
 		reply := p.attempt(ctx, q, to)
 		q.reason = reply.Reason
 		q.queueTime += reply.QueueTime
@@ -159,6 +160,15 @@
 	return list[i], true
 }
 
+// setServer sets the backend server that the next attempt is meant for.
+func (p *Proxy) setServer(q *request, to berylregistration.Registration) {
+	p.mu.Lock()
+	status := p.tracker.Status(to.ID, to.Born)
+	p.mu.Unlock()
+	q.outgoing.ServerID, q.outgoing.ServerStartMs = to.ID, to.Born
+	q.outgoing.ServerLimited, q.outgoing.ServerLimit = status.Limited, status.Limit
+}
+
 // attempt sends the request to one instance and records the outcome.
 func (p *Proxy) attempt(ctx context.Context, q *request, to berylregistration.Registration) *berylreply.Reply {
 	host := to.Host()
@@ -191,6 +201,7 @@
 	switch {
 	case reply.Outcome == berylattempt.Answered:
 		p.tracker.Succeeded(now, id)
+		p.recordStatus(now, q, reply)
 	case reply.Reason == berylreply.ReasonThrottled:
 		p.tracker.Throttled(now, id, q.rule.Name)
 	case reply.Reason == berylreply.ReasonNoConnection, reply.Reason == berylreply.ReasonShuttingDown, reply.Reason == berylreply.ReasonWrongServer,
@@ -199,6 +210,18 @@
 	}
 }
 
+// recordStatus records what the header of an answer says about its server. The absence of a
+// field counts only in signed answers, as in the instance beside the server. The caller holds
+// the lock.
+func (p *Proxy) recordStatus(now time.Time, q *request, reply *berylreply.Reply) {
+	id, born := q.outgoing.ServerID, q.outgoing.ServerStartMs
+	known := p.tracker.Status(id, born)
+	// The instance beside the server logs a malformed limit.
+	status, err := berylserverstatus.Parse(reply.Header.Get(p.Names.ServerLimit), reply.Header.Get(p.Names.ServerLeaving))
+	signed := reply.Header.Get(p.Names.ResponseSignature) != ""
+	p.tracker.StatusReported(now, id, born, known.Update(status, err == nil && signed))
+}
+
 // sendToPeer sends the request to another instance. An idempotent request is cancelled
 // when that instance becomes silent.
 func (p *Proxy) sendToPeer(ctx context.Context, q *request, host string) *berylreply.Reply {
--- a/io/berylrequest/request.go
+++ b/io/berylrequest/request.go
@@ -20,8 +20,10 @@
 	Length        int64  // of the whole body, -1 if unknown
 	Rule          string // name of the rule that it matched
 	Service       string
-	ServerID      string // backend server that it is meant for
-	ServerStartMs int64  // start of that backend server in Unix milliseconds, which distinguishes lifetimes under one ID
+	ServerID      string  // backend server that it is meant for
+	ServerStartMs int64   // start of that backend server in Unix milliseconds, which distinguishes lifetimes under one ID
+	ServerLimited bool    // that server has named a limit, as far as the sender knows
+	ServerLimit   float64 // requests per second, valid if ServerLimited is set
 	Workspace     string
 	Caller        string    // service of the instance that received it
 	Idempotent    bool      // may run more than once
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -42,8 +42,10 @@
 	slots          int
 	abandoned      int       // requests that the server still has after they were given up here
 	loadReportedAt time.Time // when abandoned was determined
+	startPending   bool      // a timer will start waiting requests
 	shuttingDown   bool
 	lifetime       berylregistration.Registration // list entry of the run of the server that status belongs to
+	answered       bool                           // whether that run of the server has answered this daemon
 	status         berylserverstatus.Status       // what the server last said about itself
 	malformedLimit string                         // last limit that could not be read
 }
@@ -144,6 +146,9 @@
 func (r *Runner) Run(ctx context.Context, req *berylrequest.Request) *berylreply.Reply {
 	start := time.Now()
 	reply := r.checkServer(req)
+	if reply == nil {
+		r.adoptLimit(req)
+	}
 	var queueTime time.Duration
 	if reply == nil {
 		reply = r.checkThrottle(req)
@@ -236,7 +241,11 @@
 func (r *Runner) arrive(req beryladmission.Request, w *waiter) (beryladmission.Decision, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.admission.Arrive(time.Now(), req, w)
+	decision, wait := r.admission.Arrive(time.Now(), req, w)
+	if decision == beryladmission.Wait {
+		r.startWaiting()
+	}
+	return decision, wait
 }
 
 // removeWaiter takes a request out of the queue and reports whether it was there.
@@ -251,14 +260,33 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.admission.Done(req, took, ran)
+	r.startWaiting()
+}
+
+// startWaiting starts the waiting requests that may start now, and arranges to do so again
+// when the rate that the server named lets the next one start. The caller holds the lock.
+func (r *Runner) startWaiting() {
 	for {
 		w, expired, ok := r.admission.Next(time.Now())
 		if !ok {
-			return
+			break
 		}
 		w.expired = expired
 		close(w.ready)
 	}
+	wait, ok := r.admission.NextStart(time.Now())
+	if !ok || r.startPending {
+		return
+	}
+	r.startPending = true
+	time.AfterFunc(wait, func() {
+		r.guard("waiting requests", func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.startPending = false
+			r.startWaiting()
+		})
+	})
 }
 
 func (r *Runner) send(ctx context.Context, req *berylrequest.Request, admissionRequest beryladmission.Request) *berylreply.Reply {
@@ -283,14 +311,11 @@
 	reply := pool.Send(ctx, &berylconnpool.Request{
 		Method: req.Method, URI: req.URI, Host: req.Host, ID: req.ID, Header: h,
 		Body: req.Body, Stream: req.Stream, Length: req.Length, NonIdempotent: !req.Idempotent,
+		OnHeader: func(h http.Header) { r.recordHeader(req.ServerID, h) },
 	}, onDone)
 	if !req.Nested {
 		r.recordEnd(ctx, req, reply)
 	}
-	if reply.Header != nil {
-		r.recordServerLoad(reply.Header.Get(r.names.ServerLoad))
-		r.recordStatus(req.ServerID, reply.Header)
-	}
 	returned = true
 	return reply
 }
--- a/io/berylrunner/status.go
+++ b/io/berylrunner/status.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/http"
+	"time"
 
 	"berylspan/core/berylregistration"
 	"berylspan/core/berylserverstatus"
+	"berylspan/io/berylrequest"
 )
 
 // OnServerStatus sets a function that is called when the backend server says something new
@@ -18,35 +20,71 @@
 	if entry.ID == r.lifetime.ID && entry.Born == r.lifetime.Born {
 		return
 	}
-	r.lifetime = entry
+	r.lifetime, r.answered = entry, false
 	r.status, r.malformedLimit = berylserverstatus.Status{}, ""
+	r.admission.ClearRate()
 }
 
-// recordStatus evaluates what the header of an answer says about the backend server. The
-// absence of a field counts only in signed answers: others need not come from the server's
-// request handling.
+// adoptLimit takes over the limit that the sender of a request knows the server to have named,
+// until the server has answered this daemon: it may have named it to one that ran here before.
+func (r *Runner) adoptLimit(req *berylrequest.Request) {
+	if !req.ServerLimited {
+		return
+	}
+	r.mu.Lock()
+	known := r.status
+	if !r.answered && !known.Limited && req.ServerStartMs == r.lifetime.Born {
+		r.status.Limited, r.status.Limit = true, req.ServerLimit
+		r.applyStatus()
+	}
+	status := r.status
+	r.mu.Unlock()
+	if status != known {
+		r.onServerStatus(req.ServerID, status, nil)
+	}
+}
+
+// recordHeader evaluates what the header of an answer says about the backend server.
+func (r *Runner) recordHeader(serverID string, h http.Header) {
+	r.recordServerLoad(h.Get(r.names.ServerLoad))
+	r.recordStatus(serverID, h)
+}
+
+// recordStatus evaluates what the header of an answer says about the state of the server.
+// The absence of a field counts only in signed answers: others need not come from the
+// server's request handling.
 func (r *Runner) recordStatus(serverID string, h http.Header) {
 	limit := h.Get(r.names.ServerLimit)
 	status, err := berylserverstatus.Parse(limit, h.Get(r.names.ServerLeaving))
 	signed := h.Get(r.names.ResponseSignature) != ""
 	r.mu.Lock()
 	known := r.status
-	if err != nil || (!signed && !status.Limited) {
-		status.Limited, status.Limit = known.Limited, known.Limit
-	}
-	status.Leaving = status.Leaving || known.Leaving
+	status = known.Update(status, err == nil && signed)
 	if err != nil && limit == r.malformedLimit {
 		err = nil // Reported before.
 	} else if err != nil {
 		r.malformedLimit = limit
 	}
 	r.status = status
+	r.answered = r.answered || signed
+	r.applyStatus()
 	r.mu.Unlock()
 	if err != nil || status != known {
 		r.onServerStatus(serverID, status, err)
 	}
 }
 
+// applyStatus makes the admission control keep to what the server accepts. The caller holds
+// the lock.
+func (r *Runner) applyStatus() {
+	if r.status.Limited {
+		r.admission.SetRate(time.Now(), r.status.Limit)
+	} else {
+		r.admission.ClearRate()
+	}
+	r.startWaiting()
+}
+
 // ServerStatus returns what the backend server last said about itself.
 func (r *Runner) ServerStatus() berylserverstatus.Status {
 	r.mu.Lock()
