Leave a backend server whose answers say that it is leaving

Callers could see a request given to a server that had already said, in the header Server-Leaving of its answers, that it shuts down; such a request is lost when the server ends. Only the published list and the daemon's own shutdown made instances leave a server, so while an instance could not read the list, or the list was late, requests went on.

Cause: as for the named limit, what a server says in its answers was passed on and not read. Same class, other decision (membership, not admission).

Fix: the daemon beside refuses new work once the server has said so ('draining', not sent, so it goes elsewhere for nothing), and each instance remembers per run of a server what it was told and chooses that run no more. The daemon beside may be restarted and forget; the others do not.

--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -245,7 +245,9 @@
 	h := resp.Header
 	names := &e.pool.names
 	e.recordReuse(resp)
-	if e.request.OnHeader != nil {
+	success := resp.StatusCode < http.StatusMultipleChoices
+	malformed := (success && h.Get(names.ResponseSignature) == "") || h.Get("Content-Encoding") != ""
+	if e.request.OnHeader != nil && !malformed {
 		e.request.OnHeader(h)
 	}
 	if h.Get(names.NotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
@@ -259,8 +261,7 @@
 		}
 		return reply
 	}
-	success := resp.StatusCode < http.StatusMultipleChoices
-	if (success && h.Get(names.ResponseSignature) == "") || h.Get("Content-Encoding") != "" {
+	if malformed {
 		e.reuse = false
 		return e.fail(ctx, berylreply.ReasonMalformed)
 	}
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -140,7 +140,7 @@
 		c := p.tracker.Candidate(now, entry.ID, q.rule.Name, entry.Slots)
 		c.OtherZone = entry.Zone != p.Zone
 		c.Cold = entry.Warm > 0
-		c.Excluded = st.tried[entry.ID] || entry.Leaving
+		c.Excluded = st.tried[entry.ID] || entry.Leaving || p.tracker.Status(entry.ID, entry.Born).Leaving
 		throttled = throttled || (c.Throttled && !q.outgoing.Nested)
 		host := entry.Host()
 		if peer, ok := p.peers[host]; ok && host != p.Host {
@@ -202,6 +202,10 @@
 	case reply.Outcome == berylattempt.Answered:
 		p.tracker.Succeeded(now, id)
 		p.recordStatus(now, q, reply)
+	case reply.Reason == berylreply.ReasonServerLeaving:
+		status := p.tracker.Status(id, q.outgoing.ServerStartMs)
+		status.Leaving = true
+		p.tracker.StatusReported(now, id, q.outgoing.ServerStartMs, status)
 	case reply.Reason == berylreply.ReasonThrottled:
 		p.tracker.Throttled(now, id, q.rule.Name)
 	case reply.Reason == berylreply.ReasonNoConnection, reply.Reason == berylreply.ReasonShuttingDown, reply.Reason == berylreply.ReasonWrongServer,
--- a/io/berylreply/reply.go
+++ b/io/berylreply/reply.go
@@ -41,6 +41,7 @@
 	ReasonThrottled        = "bound"     // too many requests of its rule are late or fail because a service that they call is overloaded
 	ReasonExpired          = "expired"   // its deadline passed while it waited in the queue
 	ReasonShuttingDown     = "leaving"   // the instance is shutting down
+	ReasonServerLeaving    = "draining"  // the backend server has said that it is shutting down
 	ReasonWrongServer      = "other"     // a backend server other than the intended one has the address
 	ReasonNoConnection     = "dial"      // no connection could be established
 	ReasonConnectionBroken = "broken"    // the connection broke
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -44,10 +44,16 @@
 	loadReportedAt time.Time // when abandoned was determined
 	startPending   bool      // a timer will start waiting requests
 	shuttingDown   bool
-	lifetime       berylregistration.Registration // list entry of the run of the server that status belongs to
-	answered       bool                           // whether that run of the server has answered this daemon
-	status         berylserverstatus.Status       // what the server last said about itself
-	malformedLimit string                         // last limit that could not be read
+	lifetime       lifetime                 // run of the server that status belongs to
+	answered       bool                     // whether that run of the server has answered this daemon
+	status         berylserverstatus.Status // what the server last said about itself
+	malformedLimit string                   // last limit that could not be read
+}
+
+// lifetime identifies a run of the backend server.
+type lifetime struct {
+	id     string
+	bornMs int64
 }
 
 // waiter is a request that waits for a slot.
@@ -177,13 +183,18 @@
 	if r.shuttingDown {
 		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonShuttingDown)
 	}
+	if known {
+		r.trackLifetime(entry.ID, entry.Born)
+	} else {
+		r.trackLifetime(req.ServerID, req.ServerStartMs)
+	}
 	if known && (entry.Service != req.Service || (entry.ID != req.ServerID && entry.Born >= req.ServerStartMs)) {
 		reply := berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonWrongServer)
 		reply.ActualServerID = entry.ID
 		return reply
 	}
-	if known {
-		r.trackLifetime(entry)
+	if r.status.Leaving && r.lifetime == (lifetime{req.ServerID, req.ServerStartMs}) {
+		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonServerLeaving)
 	}
 	if known && entry.Slots > 0 && entry.Slots != r.slots {
 		r.slots = entry.Slots
--- a/io/berylrunner/status.go
+++ b/io/berylrunner/status.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"berylspan/core/berylregistration"
 	"berylspan/core/berylserverstatus"
 	"berylspan/io/berylrequest"
 )
@@ -15,12 +14,14 @@
 	return func(r *Runner) { r.onServerStatus = f }
 }
 
-// trackLifetime forgets what an earlier run of the backend server said about itself.
-func (r *Runner) trackLifetime(entry berylregistration.Registration) {
-	if entry.ID == r.lifetime.ID && entry.Born == r.lifetime.Born {
+// trackLifetime forgets what an earlier run of the backend server said about itself. The
+// caller holds the lock.
+func (r *Runner) trackLifetime(id string, bornMs int64) {
+	current := lifetime{id, bornMs}
+	if r.lifetime == current {
 		return
 	}
-	r.lifetime, r.answered = entry, false
+	r.lifetime, r.answered = current, false
 	r.status, r.malformedLimit = berylserverstatus.Status{}, ""
 	r.admission.ClearRate()
 }
@@ -33,7 +34,7 @@
 	}
 	r.mu.Lock()
 	known := r.status
-	if !r.answered && !known.Limited && req.ServerStartMs == r.lifetime.Born {
+	if !r.answered && !known.Limited && r.lifetime == (lifetime{req.ServerID, req.ServerStartMs}) {
 		r.status.Limited, r.status.Limit = true, req.ServerLimit
 		r.applyStatus()
 	}
