--- a/core/beryltracker/tracker.go
+++ b/core/beryltracker/tracker.go
@@ -29,7 +29,7 @@
 	serviceTimes     map[string]float64   // moving averages in seconds, by rule
 	throttledUntil   map[string]time.Time // by rule, until when no new requests of it are sent
 	suspectUntil     time.Time
-	failures         int // in a row, without those while the instance was suspect
+	failures         int                      // in a row, without those while the instance was suspect
 	status           berylserverstatus.Status // what the server said in its last answer
 	statusOf         int64                    // start of the run of the server that said it
 	lastUsed         time.Time
