Log when the store was restored from a copy

Cause: the platform's store names its era in all answers (Store-Era); it rises when the store comes back from a copy and its revisions go back. Logs showed such reads as 'read overtaken by a peer' only, and a watch across the restore not at all, so that the hypotheses on CONFIG could not be told apart.

Change: the era of each read and a line 'store era'. Nothing is decided by it.

--- a/io/berylstorecache/source.go
+++ b/io/berylstorecache/source.go
@@ -12,6 +12,7 @@
 // ReadResult is the result of a read of the store: everything if Full is set, otherwise
 // the changes since an earlier read.
 type ReadResult struct {
+	Era        int64 // of the store, higher each time that it is restored from a copy; 0 if it has no eras
 	Revision   int64 // up to which the store was read
 	Full       bool
 	RawConfig  []byte                           // as published
--- a/io/berylstorecache/storecache.go
+++ b/io/berylstorecache/storecache.go
@@ -45,6 +45,7 @@
 	readStartedAt       time.Time
 	lastFullReadAt      time.Time
 	lastReadFailed      bool
+	era                 int64                                // of the store at the last read
 	outageEndedAt       time.Time                            // when the store could be read again after its last outage
 	pendingRemovals     map[string]time.Time                 // servers that the store no longer holds, until their removal
 	pendingRemovalsCopy atomic.Pointer[map[string]time.Time] // for other goroutines
@@ -223,6 +224,10 @@
 		c.log.Info().Int64("revision", result.Revision).Msg("store regained")
 	}
 	c.lastReadFailed, c.historyLost = false, c.historyLost && !result.Full
+	if known := c.era; result.Era != known {
+		c.era = result.Era
+		c.log.Info().Int64("era", result.Era).Int64("knownera", known).Int64("revision", result.Revision).Int64("known", c.State().Revision).Bool("full", result.Full).Msg("store era")
+	}
 	if result.Revision < c.State().Revision {
 		c.log.Info().Int64("revision", result.Revision).Int64("known", c.State().Revision).Msg("read overtaken by a peer")
 		result = &ReadResult{Config: result.Config, RawConfig: result.RawConfig, Findings: result.Findings}
