Order what the store says by its era before its revision

Callers saw a withdrawn key accepted on and, for seconds, requests given to a server that drained, after the store had come back from a copy.

Cause: revisions were compared across the restore. A read of the restored store counted as overtaken until its revision had passed the known one, so the server list stood still; a watch from the known revision was answered once the store had passed it, and everything written below it since the restore was missed until the next read of everything, up to 8 s later. Class: positions of different histories compared as if of one.

A read of a later era is used only if it is of everything, and asked for at once after a watch that shows one; entries that are missing from it get the 2 s that they get after an outage. A configuration is replaced by a newer version only, as before, so that an older one in the copy is not taken.

--- a/io/berylgossip/heartbeat.go
+++ b/io/berylgossip/heartbeat.go
@@ -17,4 +17,5 @@
 	Limit          int               `cbor:"10,keyasint,omitempty"` // concurrency limit of the backend server
 	Demand         map[string]uint32 `cbor:"11,keyasint,omitempty"`
 	ZoneDemand     map[string]uint32 `cbor:"12,keyasint,omitempty"`
+	Era            int64             `cbor:"13,keyasint,omitempty"` // of the store that ChangeRevision and Revision belong to
 }
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -89,7 +89,7 @@
 	set := s.set.Load()
 	st := s.view.State()
 	w := berylgossip.Heartbeat{
-		Epoch: s.start, Zone: set.Zone, ChangeRevision: st.ChangeRevision, Revision: st.Revision,
+		Epoch: s.start, Zone: set.Zone, Era: st.Era, ChangeRevision: st.ChangeRevision, Revision: st.Revision,
 		AgeMs: s.view.Age().Milliseconds(), Leaving: s.leaving.Load(), Demand: s.demand(),
 	}
 	if st.Config != nil {
@@ -239,7 +239,9 @@
 		if w.ConfigVersion == 0 {
 			return
 		}
-		s.view.HandlePeerState(ctx, net.JoinHostPort(host, s.set.Load().Port), w.ConfigVersion, w.ChangeRevision, w.Revision, time.Duration(w.AgeMs)*time.Millisecond)
+		s.view.HandlePeerState(ctx, net.JoinHostPort(host, s.set.Load().Port), berylstorecache.PeerState{
+			ConfigVersion: w.ConfigVersion, Era: w.Era, ChangeRevision: w.ChangeRevision, Revision: w.Revision, Age: time.Duration(w.AgeMs) * time.Millisecond,
+		})
 	}
 }
 
--- a/io/berylstorecache/panic_test.go
+++ b/io/berylstorecache/panic_test.go
@@ -79,10 +79,10 @@
 		return &Snapshot{ConfigVersion: 9, RawConfig: []byte("x"), ChangeRevision: 3, Revision: 3, Servers: []berylregistration.Registration{server("1")}}, nil
 	}))
 	ctx := context.Background()
-	cache.HandlePeerState(ctx, "10.0.0.9:1", 9, 3, 3, 0)
+	cache.HandlePeerState(ctx, "10.0.0.9:1", PeerState{ConfigVersion: 9, ChangeRevision: 3, Revision: 3})
 	require.Equal(t, panicPart, <-panics)
 	require.Eventually(t, func() bool {
-		cache.HandlePeerState(ctx, "10.0.0.9:1", 9, 3, 3, 0)
+		cache.HandlePeerState(ctx, "10.0.0.9:1", PeerState{ConfigVersion: 9, ChangeRevision: 3, Revision: 3})
 		return cache.State().Config != nil
 	}, 5*time.Second, 5*time.Millisecond)
 }
--- a/io/berylstorecache/peers.go
+++ b/io/berylstorecache/peers.go
@@ -14,7 +14,7 @@
 // unchanged servers.
 func (c *StoreCache) Snapshot(known KnownVersions) *Snapshot {
 	s := c.State()
-	snapshot := &Snapshot{ChangeRevision: s.ChangeRevision, Revision: s.Revision, AgeMs: c.clock().Sub(s.ConfirmedAt).Milliseconds(), Digest: s.Digest}
+	snapshot := &Snapshot{Era: s.Era, ChangeRevision: s.ChangeRevision, Revision: s.Revision, AgeMs: c.clock().Sub(s.ConfirmedAt).Milliseconds(), Digest: s.Digest}
 	if s.Config != nil {
 		snapshot.ConfigVersion = s.Config.Version
 		if snapshot.ConfigVersion > known.ConfigVersion {
@@ -46,13 +46,24 @@
 	return c.changes.DiffSince(known.ChangeRevision, known.Digest, s.Servers)
 }
 
+// PeerState is what another instance announces of its state. Age is the time since the store
+// was last known to hold that state.
+type PeerState struct {
+	ConfigVersion  int64 // 0 while it knows no configuration
+	Era            int64
+	ChangeRevision int64
+	Revision       int64
+	Age            time.Duration
+}
+
 // HandlePeerState handles the state that another instance announced and fetches it if it
-// is newer. age is the time since the store was last known to hold that state.
-func (c *StoreCache) HandlePeerState(ctx context.Context, addr string, configVersion, changeRevision, revision int64, age time.Duration) {
+// is newer.
+func (c *StoreCache) HandlePeerState(ctx context.Context, addr string, peer PeerState) {
 	s := c.State()
-	newer := changeRevision > s.ChangeRevision || (configVersion > 0 && (s.Config == nil || configVersion > s.Config.Version))
-	confirmedAt := c.clock().Add(-age)
-	if !newer && (revision <= s.Revision || changeRevision < s.ChangeRevision) && !confirmedAt.After(s.ConfirmedAt) {
+	position := comparePosition(peer.Era, peer.ChangeRevision, s.Era, s.ChangeRevision)
+	newer := position > 0 || (peer.ConfigVersion > 0 && (s.Config == nil || peer.ConfigVersion > s.Config.Version))
+	confirmedAt := c.clock().Add(-peer.Age)
+	if !newer && (position < 0 || (peer.Revision <= s.Revision && !confirmedAt.After(s.ConfirmedAt))) {
 		return
 	}
 	// Fails only after Run has ended.
@@ -61,18 +72,18 @@
 			c.guarded(func() { c.fetchFrom(ctx, addr) })
 			return
 		}
-		c.guarded(func() { c.confirm(changeRevision, revision, confirmedAt) })
+		c.guarded(func() { c.confirm(peer, confirmedAt) })
 	})
 }
 
 // confirm records that the store still held the current state at confirmedAt.
-func (c *StoreCache) confirm(changeRevision, revision int64, confirmedAt time.Time) {
+func (c *StoreCache) confirm(peer PeerState, confirmedAt time.Time) {
 	old := c.State()
-	if changeRevision != old.ChangeRevision || !confirmedAt.After(old.ConfirmedAt) {
+	if comparePosition(peer.Era, peer.ChangeRevision, old.Era, old.ChangeRevision) != 0 || !confirmedAt.After(old.ConfirmedAt) {
 		return
 	}
 	s := *old
-	s.Revision = max(old.Revision, revision)
+	s.Revision = max(old.Revision, peer.Revision)
 	s.ConfirmedAt = confirmedAt
 	c.state.Store(&s)
 }
@@ -123,9 +134,12 @@
 		changed = true
 		c.log.Info().Int64("version", config.Version).Int("rules", config.RuleCount()).Str("from", addr).Msg("configuration in force")
 	}
-	if servers := c.serversFromSnapshot(addr, known, snapshot); servers != nil && snapshot.ChangeRevision > old.ChangeRevision {
-		s.ChangeRevision = snapshot.ChangeRevision
-		s.Revision = max(old.Revision, snapshot.Revision)
+	if servers := c.serversFromSnapshot(addr, known, snapshot); servers != nil && comparePosition(snapshot.Era, snapshot.ChangeRevision, old.Era, old.ChangeRevision) > 0 {
+		s.Revision = snapshot.Revision
+		if snapshot.Era == old.Era {
+			s.Revision = max(old.Revision, snapshot.Revision)
+		}
+		s.Era, s.ChangeRevision = snapshot.Era, snapshot.ChangeRevision
 		s.Servers = servers
 		s.buildIndexes()
 		changed = true
@@ -136,7 +150,7 @@
 		}
 		c.copyPendingRemovals()
 	}
-	if confirmedAt := c.clock().Add(-time.Duration(snapshot.AgeMs) * time.Millisecond); confirmedAt.After(old.ConfirmedAt) && snapshot.ChangeRevision == s.ChangeRevision {
+	if confirmedAt := c.clock().Add(-time.Duration(snapshot.AgeMs) * time.Millisecond); confirmedAt.After(old.ConfirmedAt) && snapshot.Era == s.Era && snapshot.ChangeRevision == s.ChangeRevision {
 		s.ConfirmedAt = confirmedAt
 	}
 	c.setState(old, &s)
--- a/io/berylstorecache/peers_test.go
+++ b/io/berylstorecache/peers_test.go
@@ -55,7 +55,7 @@
 	cache := start(t, &fakeSource{changes: unreachable, full: unreachable}, Fetch(p.fetch))
 	announce := func() {
 		s := p.reader.State()
-		cache.HandlePeerState(context.Background(), "peer", 9, s.ChangeRevision, s.Revision, 0)
+		cache.HandlePeerState(context.Background(), "peer", PeerState{ConfigVersion: 9, ChangeRevision: s.ChangeRevision, Revision: s.Revision})
 	}
 	announce()
 	eventually(t, func() bool { return hasConfig(cache) })
--- a/io/berylstorecache/startup.go
+++ b/io/berylstorecache/startup.go
@@ -50,7 +50,7 @@
 			continue // It has just started too and knows nothing.
 		}
 		snapshots[r.addr] = r.snapshot
-		if r.snapshot.Revision >= read.Revision {
+		if comparePosition(r.snapshot.Era, r.snapshot.Revision, read.Era, read.Revision) >= 0 {
 			break
 		}
 	}
--- a/io/berylstorecache/state.go
+++ b/io/berylstorecache/state.go
@@ -16,6 +16,7 @@
 type State struct {
 	Config           *berylhttpconfig.Config                     // nil while none is known
 	RawConfig        []byte                                      // as published
+	Era              int64                                       // of the store that Revision and ChangeRevision belong to
 	ChangeRevision   int64                                       // of the last relevant change; can exceed Revision after a delayed removal
 	Revision         int64                                       // up to which the store was read
 	Servers          map[string]berylregistration.Registration   // by ID
@@ -25,6 +26,12 @@
 	ConfirmedAt      time.Time                                   // when the store was last known to hold this state
 }
 
+// comparePosition orders positions in the history of the store, -1 if the first is earlier.
+// Revisions start again from an earlier one in each era.
+func comparePosition(era, revision, otherEra, otherRevision int64) int {
+	return cmp.Or(cmp.Compare(era, otherEra), cmp.Compare(revision, otherRevision))
+}
+
 // buildIndexes sets the fields that follow from Servers. Of two servers with the same
 // address only the one that started later is indexed.
 func (s *State) buildIndexes() {
--- a/io/berylstorecache/storecache.go
+++ b/io/berylstorecache/storecache.go
@@ -45,7 +45,6 @@
 	readStartedAt       time.Time
 	lastFullReadAt      time.Time
 	lastReadFailed      bool
-	era                 int64                                // of the store at the last read
 	outageEndedAt       time.Time                            // when the store could be read again after its last outage
 	pendingRemovals     map[string]time.Time                 // servers that the store no longer holds, until their removal
 	pendingRemovalsCopy atomic.Pointer[map[string]time.Time] // for other goroutines
@@ -75,6 +74,7 @@
 	BaseRevision     int64                            `cbor:"8,keyasint,omitempty"`
 	RemovedIDs       []string                         `cbor:"9,keyasint,omitempty"`
 	Digest           uint64                           `cbor:"10,keyasint,omitempty"`
+	Era              int64                            `cbor:"11,keyasint,omitempty"` // that the revisions belong to
 }
 
 const (
@@ -224,18 +224,24 @@
 		c.log.Info().Int64("revision", result.Revision).Msg("store regained")
 	}
 	c.lastReadFailed, c.historyLost = false, c.historyLost && !result.Full
-	if known := c.era; result.Era != known {
-		c.era = result.Era
-		c.log.Info().Int64("era", result.Era).Int64("knownera", known).Int64("revision", result.Revision).Int64("known", c.State().Revision).Bool("full", result.Full).Msg("store era")
+	s := c.State()
+	if result.Era > s.Era {
+		c.log.Info().Int64("era", result.Era).Int64("knownera", s.Era).Int64("revision", result.Revision).Int64("known", s.Revision).Bool("full", result.Full).Msg("store era")
+		if !result.Full {
+			// The changes follow a revision of another era.
+			c.historyLost, c.readStartedAt = true, time.Time{}
+			return
+		}
+		c.outageEndedAt = now // Servers that registered after the copy was made are about to come back.
 	}
-	if result.Revision < c.State().Revision {
-		c.log.Info().Int64("revision", result.Revision).Int64("known", c.State().Revision).Msg("read overtaken by a peer")
-		result = &ReadResult{Config: result.Config, RawConfig: result.RawConfig, Findings: result.Findings}
+	if comparePosition(result.Era, result.Revision, s.Era, s.Revision) < 0 {
+		c.log.Info().Int64("era", result.Era).Int64("knownera", s.Era).Int64("revision", result.Revision).Int64("known", s.Revision).Msg("read overtaken by a peer")
+		result = &ReadResult{Era: s.Era, Config: result.Config, RawConfig: result.RawConfig, Findings: result.Findings}
 	}
 	if result.Full {
 		c.lastFullReadAt = now
 	}
-	if s := c.State(); !s.ConfirmedAt.IsZero() && now.Sub(s.ConfirmedAt) > outageThreshold {
+	if !s.ConfirmedAt.IsZero() && now.Sub(s.ConfirmedAt) > outageThreshold {
 		c.outageEndedAt = now
 	}
 	for _, finding := range result.Findings {
@@ -249,8 +255,13 @@
 	old := c.State()
 	s := *old
 	s.ConfirmedAt = now
-	s.Revision = max(old.Revision, result.Revision)
-	changed := false
+	restored := result.Era > old.Era
+	if restored {
+		s.Era, s.Revision, s.ChangeRevision = result.Era, result.Revision, result.Revision
+	}
+	s.Revision = max(s.Revision, result.Revision)
+	changed := restored
+	// A configuration from a copy may be older than the known one, which is published again.
 	if result.Config != nil && (old.Config == nil || result.Config.Version > old.Config.Version) {
 		s.Config, s.RawConfig = result.Config, result.RawConfig
 		changed = true
@@ -261,7 +272,7 @@
 		s.Servers, changed = servers, changed || serversChanged
 		s.buildIndexes()
 	}
-	if changed {
+	if changed && !restored {
 		s.ChangeRevision = max(s.Revision, old.ChangeRevision+1)
 	}
 	c.setState(old, &s)
@@ -312,7 +323,7 @@
 
 // setState replaces old by s, whose indexes are built, and records the changes.
 func (c *StoreCache) setState(old, s *State) {
-	if s.ChangeRevision != old.ChangeRevision {
+	if s.Era != old.Era || s.ChangeRevision != old.ChangeRevision {
 		c.recordChange(old, s)
 	}
 	c.state.Store(s)
--- a/io/berylstorecache/storecache_test.go
+++ b/io/berylstorecache/storecache_test.go
@@ -138,7 +138,7 @@
 	source.mu.Lock()
 	source.full = func() (*ReadResult, error) { return nil, errors.New("down") }
 	source.mu.Unlock()
-	cache.HandlePeerState(context.Background(), "peer", 3, 60, 60, 0)
+	cache.HandlePeerState(context.Background(), "peer", PeerState{ConfigVersion: 3, ChangeRevision: 60, Revision: 60})
 	eventually(t, func() bool { return cache.State().ChangeRevision == 60 })
 	for range 60 {
 		advance(50 * time.Millisecond)
@@ -190,10 +190,10 @@
 	}))
 	eventually(t, func() bool { return hasConfig(cache) })
 	ctx := context.Background()
-	cache.HandlePeerState(ctx, "peer", 9, 50, 50, 0)
+	cache.HandlePeerState(ctx, "peer", PeerState{ConfigVersion: 9, ChangeRevision: 50, Revision: 50})
 	eventually(t, func() bool { return cache.State().Config.Version == 9 })
 	require.Contains(t, cache.State().Servers, "7")
-	cache.HandlePeerState(ctx, "peer", 3, 5, 5, 0)
+	cache.HandlePeerState(ctx, "peer", PeerState{ConfigVersion: 3, ChangeRevision: 5, Revision: 5})
 	time.Sleep(50 * time.Millisecond)
 	require.Equal(t, 1, fetches, "an older state is not fetched")
 }
@@ -207,7 +207,7 @@
 	source.mu.Unlock()
 	for range 20 {
 		s := cache.State()
-		cache.HandlePeerState(context.Background(), "peer", 3, s.ChangeRevision, s.Revision+1, 0)
+		cache.HandlePeerState(context.Background(), "peer", PeerState{ConfigVersion: 3, ChangeRevision: s.ChangeRevision, Revision: s.Revision + 1})
 		time.Sleep(100 * time.Millisecond)
 	}
 	source.mu.Lock()
@@ -226,7 +226,7 @@
 		fetched.Store(true)
 		return &Snapshot{ConfigVersion: 9, RawConfig: []byte("x"), ChangeRevision: 8, Revision: 8, Servers: []berylregistration.Registration{server("1"), server("2")}}, nil
 	}))
-	cache.HandlePeerState(context.Background(), "peer", 9, 8, 8, 0)
+	cache.HandlePeerState(context.Background(), "peer", PeerState{ConfigVersion: 9, ChangeRevision: 8, Revision: 8})
 	eventually(t, func() bool { return hasConfig(cache) })
 	close(respond)
 	eventually(t, func() bool { return cache.StoreReads() > 1 })
