Tell peers that a server came back before its removal was due

Found while tracing TestServersMissingFromTheCopyStayInUse: two of four instances logged 'list entry did not come back' for a server that the store listed again.

Callers lost that server's capacity. Not part of the restore: any outage in which entries lapse while another one changes shows it.

Fix: a server whose removal was pending and that is listed again is a relevant change. TestReturnedServerIsRemovedAtPeers failed before (the peer's list had lost the server) and passes, 3 runs.

--- a/io/berylstorecache/peers_test.go
+++ b/io/berylstorecache/peers_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"berylspan/core/berylregistration"
 
@@ -95,3 +97,39 @@
 	require.Equal(t, p.reader.State().Servers, cache.State().Servers)
 	require.Contains(t, cache.State().Servers, "9")
 }
+
+// A peer that had copied a pending removal was not told that the server came back, and removed it for all.
+func TestReturnedServerIsRemovedAtPeers(t *testing.T) {
+	var mu sync.Mutex
+	now := time.Unix(1_000, 0)
+	clock := func() time.Time { mu.Lock(); defer mu.Unlock(); return now }
+	advance := func(d time.Duration) { mu.Lock(); now = now.Add(d); mu.Unlock() }
+	down := func() (*ReadResult, error) { return nil, errors.New("down") }
+	source := &fakeSource{full: firstRead, changes: down}
+	reader := start(t, source, Clock(clock))
+	peer := start(t, &fakeSource{full: down, changes: down}, Clock(clock), Rank(func() int { return 1 }),
+		Fetch(func(_ context.Context, _ string, known KnownVersions) (*Snapshot, error) {
+			return reader.Snapshot(known), nil
+		}))
+	step := func() {
+		advance(50 * time.Millisecond)
+		s := reader.State()
+		if s.Config != nil {
+			peer.HandlePeerState(context.Background(), "reader", PeerState{ConfigVersion: 3, ChangeRevision: s.ChangeRevision, Revision: s.Revision})
+		}
+	}
+	eventually(t, func() bool { step(); return hasConfig(peer) })
+	advance(10 * time.Second)
+	source.setChanges(func() (*ReadResult, error) {
+		return &ReadResult{Revision: 20, RemovedIDs: []string{"1"}, Updated: []berylregistration.Registration{server("7")}}, nil
+	})
+	eventually(t, func() bool { step(); return len(peer.State().Servers) == 3 })
+	source.setChanges(func() (*ReadResult, error) {
+		return &ReadResult{Revision: 21, Updated: []berylregistration.Registration{server("1")}}, nil
+	})
+	for range 80 {
+		step()
+		time.Sleep(5 * time.Millisecond)
+	}
+	require.Contains(t, peer.State().Servers, "1")
+}
--- a/io/berylstorecache/storecache.go
+++ b/io/berylstorecache/storecache.go
@@ -311,6 +311,7 @@
 		if _, pending := c.pendingRemovals[server.ID]; pending {
 			delete(c.pendingRemovals, server.ID)
 			c.copyPendingRemovals()
+			changed = true // Other instances copied the pending removal.
 		}
 		servers[server.ID] = server
 		if !known || !previous.Equivalent(server) {
