Do not take the first read of a started instance for a restore

Seen in the log of TestServersMissingFromTheCopyStayInUse: no 'list entry gone' although all instances knew the revision of the removal. A restore needs an earlier read now; the test got past that point.

--- a/io/berylstorecache/storecache.go
+++ b/io/berylstorecache/storecache.go
@@ -225,7 +225,7 @@
 	}
 	c.lastReadFailed, c.historyLost = false, c.historyLost && !result.Full
 	s := c.State()
-	if result.Era > s.Era {
+	if result.Era > s.Era && !s.ConfirmedAt.IsZero() {
 		c.log.Info().Int64("era", result.Era).Int64("knownera", s.Era).Int64("revision", result.Revision).Int64("known", s.Revision).Bool("full", result.Full).Msg("store era")
 		if !result.Full {
 			// The changes follow a revision of another era.
