Keep servers out that had left before the store was restored

A copy lists servers that have left since it was made, and leaving ones as ready; requests went to them again, although instances had seen them go. Such a server may end with a request on it, or its address be another's.

Cause: a list was believed as a whole, newer list over older knowledge; what an instance had seen end had no memory. Class: deletions without a record, undone by a replica that is behind.

Fix: core/beryldepartures remembers per run of a server that it is leaving or has left.

--- a/io/berylstorecache/peers.go
+++ b/io/berylstorecache/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"berylspan/core/berylhistory"
@@ -140,7 +142,7 @@
 			s.Revision = max(old.Revision, snapshot.Revision)
 		}
 		s.Era, s.ChangeRevision = snapshot.Era, snapshot.ChangeRevision
-		s.Servers = servers
+		s.Servers = berylhistory.Apply(nil, c.withoutDeparted(c.clock(), snapshot.Era, slices.Collect(maps.Values(servers))), nil)
 		s.buildIndexes()
 		changed = true
 		// Servers whose removal is pending here may have come back at the peer.
--- a/io/berylstorecache/storecache.go
+++ b/io/berylstorecache/storecache.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"berylspan/core/beryldepartures"
 	"berylspan/core/berylhistory"
 	"berylspan/core/berylregistration"
 	"berylspan/io/berylclock"
@@ -48,7 +49,9 @@
 	outageEndedAt       time.Time                            // when the store could be read again after its last outage
 	pendingRemovals     map[string]time.Time                 // servers that the store no longer holds, until their removal
 	pendingRemovalsCopy atomic.Pointer[map[string]time.Time] // for other goroutines
-	needFullList        bool                                 // the changes from a peer did not lead to the peer's list
+	departures          *beryldepartures.Departures
+	recheckAt           time.Time // when the store is read again because entries of a restored store were left out; zero if none were
+	needFullList        bool      // the changes from a peer did not lead to the peer's list
 
 	mu      sync.Mutex
 	changes *berylhistory.History
@@ -117,7 +120,7 @@
 
 // New returns an empty cache. It reads nothing before Run.
 func New(source Source, log zerolog.Logger, opts ...func(*StoreCache)) *StoreCache {
-	c := &StoreCache{source: source, log: log, clock: berylclock.BootClock, guard: berylpanic.Unguarded, loop: berylloop.New(), rank: func() int { return 0 }, startupPeers: func([]berylregistration.Registration) []string { return nil }, onChange: func(string) {}, pendingRemovals: map[string]time.Time{}, changes: berylhistory.New()}
+	c := &StoreCache{source: source, log: log, clock: berylclock.BootClock, guard: berylpanic.Unguarded, loop: berylloop.New(), rank: func() int { return 0 }, startupPeers: func([]berylregistration.Registration) []string { return nil }, onChange: func(string) {}, pendingRemovals: map[string]time.Time{}, changes: berylhistory.New(), departures: beryldepartures.New()}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -164,6 +167,9 @@
 	if c.reading || now.Sub(c.readStartedAt) < interval || (s.Config != nil && now.Sub(s.ConfirmedAt) < c.readAge()) {
 		return
 	}
+	if !c.recheckAt.IsZero() && now.After(c.recheckAt) {
+		c.historyLost, c.recheckAt = true, time.Time{}
+	}
 	c.reading, c.readStartedAt = true, now
 	full := c.historyLost || s.Revision == 0 || now.Sub(c.lastFullReadAt) > fullReadInterval
 	go c.readStore(ctx, full, s.Revision) // Ends within readTimeout.
@@ -285,10 +291,11 @@
 // relevant.
 func (c *StoreCache) updateServers(now time.Time, old *State, result *ReadResult) (servers map[string]berylregistration.Registration, changed bool) {
 	servers = make(map[string]berylregistration.Registration, len(old.Servers)+len(result.Updated))
-	removedIDs := result.RemovedIDs
+	updated, removedIDs := result.Updated, result.RemovedIDs
 	if result.Full {
-		present := make(map[string]bool, len(result.Updated))
-		for _, server := range result.Updated {
+		updated = c.withoutDeparted(now, result.Era, result.Updated)
+		present := make(map[string]bool, len(updated))
+		for _, server := range updated {
 			present[server.ID] = true
 		}
 		for id := range old.Servers {
@@ -303,7 +310,11 @@
 	for _, id := range removedIDs {
 		changed = c.removeServer(now, servers, id) || changed
 	}
-	for _, server := range result.Updated {
+	for _, server := range updated {
+		if !result.Full {
+			// A server that writes its entry is alive, but one that was leaving stays so.
+			server, _ = c.departures.Check(now, result.Era, server)
+		}
 		previous, known := servers[server.ID]
 		if !known {
 			previous, known = old.Servers[server.ID]
@@ -322,8 +333,27 @@
 	return servers, changed
 }
 
+// withoutDeparted returns the entries of a list of the era without those of servers that are
+// known to have left before the store was restored.
+func (c *StoreCache) withoutDeparted(now time.Time, era int64, servers []berylregistration.Registration) []berylregistration.Registration {
+	var out []berylregistration.Registration
+	for _, server := range servers {
+		entry, ok := c.departures.Check(now, era, server)
+		if ok {
+			out = append(out, entry)
+			continue
+		}
+		if c.recheckAt.IsZero() {
+			c.recheckAt = now.Add(beryldepartures.EntryTTL)
+		}
+		c.log.Info().Str("instance", server.ID).Int64("era", era).Msg("restored entry of a server that had left")
+	}
+	return out
+}
+
 // setState replaces old by s, whose indexes are built, and records the changes.
 func (c *StoreCache) setState(old, s *State) {
+	c.departures.Update(c.clock(), s.Era, old.Servers, s.Servers)
 	if s.Era != old.Era || s.ChangeRevision != old.ChangeRevision {
 		c.recordChange(old, s)
 	}
