Read a restored store again on every instance, and skip answers of other servers

Found on reading the change. An instance that does not read the store left out a server of the copy until another read made it fetch the list again: the read after the lease was due only where reads are. It is due on each instance now, and only while the newest list still names such a server. A 421 comes from another backend server than the one that the request was meant for, so what its header says is not recorded.

All tests of berylstorecache, berylconnpool, berylrunner and the 8 of berylrun on limits, leaving and restores pass.

--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -32,7 +32,7 @@
 	Stream        io.Reader
 	Length        int64
 	NonIdempotent bool
-	OnHeader      func(h http.Header) // called with the header of the answer before the server counts as finished
+	OnHeader      func(h http.Header) // called with the header of the server's answer before onDone
 }
 
 const (
@@ -247,16 +247,17 @@
 	e.recordReuse(resp)
 	success := resp.StatusCode < http.StatusMultipleChoices
 	malformed := (success && h.Get(names.ResponseSignature) == "") || h.Get("Content-Encoding") != ""
-	if e.request.OnHeader != nil && !malformed {
+	misdirected := resp.StatusCode == http.StatusMisdirectedRequest // answered by another server
+	if e.request.OnHeader != nil && !malformed && !misdirected {
 		e.request.OnHeader(h)
 	}
-	if h.Get(names.NotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
+	if h.Get(names.NotExecuted) != "" || misdirected {
 		_, err := io.CopyN(io.Discard, resp.Body, maxBufferedAnswer)
 		e.reuse = e.reuse && errors.Is(err, io.EOF)
 		e.finish()
 		reply := berylreply.NewFailure(berylattempt.Rejected, berylreply.ReasonRejected)
 		reply.Status = resp.StatusCode
-		if resp.StatusCode == http.StatusMisdirectedRequest {
+		if misdirected {
 			reply.Reason, reply.ActualServerID = berylreply.ReasonWrongServer, h.Get(names.ServingServer)
 		}
 		return reply
--- a/io/berylstorecache/storecache.go
+++ b/io/berylstorecache/storecache.go
@@ -164,10 +164,11 @@
 		interval = retryInterval
 	}
 	s := c.State()
-	if c.reading || now.Sub(c.readStartedAt) < interval || (s.Config != nil && now.Sub(s.ConfirmedAt) < c.readAge()) {
+	recheck := !c.recheckAt.IsZero() && now.After(c.recheckAt)
+	if c.reading || now.Sub(c.readStartedAt) < interval || (s.Config != nil && now.Sub(s.ConfirmedAt) < c.readAge() && !recheck) {
 		return
 	}
-	if !c.recheckAt.IsZero() && now.After(c.recheckAt) {
+	if recheck {
 		c.historyLost, c.recheckAt = true, time.Time{}
 	}
 	c.reading, c.readStartedAt = true, now
@@ -333,9 +334,15 @@
 	return servers, changed
 }
 
-// withoutDeparted returns the entries of a list of the era without those of servers that are
-// known to have left before the store was restored.
+// withoutDeparted returns the entries of a whole list of the era without those of servers that
+// are known to have left before the store was restored. If there are any, the store is read
+// again when one that is still listed is alive.
 func (c *StoreCache) withoutDeparted(now time.Time, era int64, servers []berylregistration.Registration) []berylregistration.Registration {
+	recheckAt := c.recheckAt
+	if recheckAt.IsZero() {
+		recheckAt = now.Add(beryldepartures.EntryTTL)
+	}
+	c.recheckAt = time.Time{}
 	var out []berylregistration.Registration
 	for _, server := range servers {
 		entry, ok := c.departures.Check(now, era, server)
@@ -343,9 +350,7 @@
 			out = append(out, entry)
 			continue
 		}
-		if c.recheckAt.IsZero() {
-			c.recheckAt = now.Add(beryldepartures.EntryTTL)
-		}
+		c.recheckAt = recheckAt
 		c.log.Info().Str("instance", server.ID).Int64("era", era).Msg("restored entry of a server that had left")
 	}
 	return out
