Delay removals only until servers of the outage are back

Cause: after an outage or restore, every removal seen within 6 s was delayed by 2 s, in case the server came back. Entries that lapsed are back within 2 s of the store's return, so a later removal is a server that leaves, and it serves on for drain_s only. Older than the restores: any outage above 3 s shows it, and restores, which count as one, made it common.

Fix: removals are delayed until 2 s after the outage has ended, not by 2 s from when they are seen; an instance that learns of a restore from a peer counts it as the end of an outage too.

TestRemovalWellAfterOutageIsDelayed failed before and passes. TestRemovalIsDelayedAfterOutage and the restore tests still pass.

--- a/io/berylstorecache/peers.go
+++ b/io/berylstorecache/peers.go
@@ -138,6 +138,9 @@
 	}
 	if servers := c.serversFromSnapshot(addr, known, snapshot); servers != nil && comparePosition(snapshot.Era, snapshot.ChangeRevision, old.Era, old.ChangeRevision) > 0 {
 		s.Revision = snapshot.Revision
+		if snapshot.Era > old.Era && !old.ConfirmedAt.IsZero() {
+			c.outageEndedAt = c.clock() // As after a read of a later era.
+		}
 		if snapshot.Era == old.Era {
 			s.Revision = max(old.Revision, snapshot.Revision)
 		}
--- a/io/berylstorecache/storecache.go
+++ b/io/berylstorecache/storecache.go
@@ -81,19 +81,18 @@
 }
 
 const (
-	loopInterval       = 100 * time.Millisecond
-	readInterval       = 400 * time.Millisecond  // between two reads by one instance; a fifth of the time within which a change must be in force
-	retryInterval      = 700 * time.Millisecond  // after a failed read
-	maxWatchTime       = time.Second             // that the store may hold a read while nothing changes
-	readTimeout        = 1500 * time.Millisecond // including the time that the store holds the read
-	secondRankReadAge  = 900 * time.Millisecond  // age of the copy from which the instance of rank 1 reads the store
-	readAgePerRank     = 250 * time.Millisecond  // more for each further rank
-	maxReadAge         = 1800 * time.Millisecond
-	fetchTimeout       = time.Second
-	removalDelay       = 2 * time.Second // within which servers that were removed during an outage come back
-	outageRecoveryTime = 6 * time.Second // after an outage, in which a removed server may come back
-	outageThreshold    = 3 * time.Second // age of the copy that counts as an outage
-	fullReadInterval   = 8 * time.Second // in case a change was missed
+	loopInterval      = 100 * time.Millisecond
+	readInterval      = 400 * time.Millisecond  // between two reads by one instance; a fifth of the time within which a change must be in force
+	retryInterval     = 700 * time.Millisecond  // after a failed read
+	maxWatchTime      = time.Second             // that the store may hold a read while nothing changes
+	readTimeout       = 1500 * time.Millisecond // including the time that the store holds the read
+	secondRankReadAge = 900 * time.Millisecond  // age of the copy from which the instance of rank 1 reads the store
+	readAgePerRank    = 250 * time.Millisecond  // more for each further rank
+	maxReadAge        = 1800 * time.Millisecond
+	fetchTimeout      = time.Second
+	removalDelay      = 2 * time.Second // after an outage, within which servers that were removed during it come back
+	outageThreshold   = 3 * time.Second // age of the copy that counts as an outage
+	fullReadInterval  = 8 * time.Second // in case a change was missed
 )
 
 // Fetch sets the function that fetches a snapshot from another instance.
@@ -372,8 +371,8 @@
 }
 
 // removeServer removes a server and reports whether it did. During an outage of the
-// store, servers are removed that are about to come back. After one, removals are
-// therefore delayed.
+// store, servers are removed that are about to come back. Removals seen shortly after one
+// are therefore delayed. Later ones are not: a server that leaves serves only for a while.
 func (c *StoreCache) removeServer(now time.Time, servers map[string]berylregistration.Registration, id string) bool {
 	server, ok := servers[id]
 	if !ok {
@@ -382,8 +381,8 @@
 	if _, pending := c.pendingRemovals[id]; pending {
 		return false
 	}
-	if !server.Leaving && !c.outageEndedAt.IsZero() && now.Sub(c.outageEndedAt) < outageRecoveryTime {
-		c.pendingRemovals[id] = now.Add(removalDelay)
+	if due := c.outageEndedAt.Add(removalDelay); !server.Leaving && now.Before(due) {
+		c.pendingRemovals[id] = due
 		c.copyPendingRemovals()
 		return false
 	}
--- a/io/berylstorecache/storecache_test.go
+++ b/io/berylstorecache/storecache_test.go
@@ -234,3 +234,21 @@
 	require.Contains(t, cache.State().Servers, "2")
 	require.Equal(t, int64(9), cache.State().Config.Version)
 }
+
+// A server that left seconds after an outage had ended was used for 2 s more, longer than it serves.
+func TestRemovalWellAfterOutageIsDelayed(t *testing.T) {
+	var mu sync.Mutex
+	now := time.Unix(1_000, 0)
+	clock := func() time.Time { mu.Lock(); defer mu.Unlock(); return now }
+	advance := func(d time.Duration) { mu.Lock(); now = now.Add(d); mu.Unlock() }
+	source := &fakeSource{full: firstRead, changes: func() (*ReadResult, error) { return nil, errors.New("down") }}
+	cache := start(t, source, Clock(clock))
+	eventually(t, func() bool { advance(time.Millisecond); return hasConfig(cache) })
+	advance(10 * time.Second) // The store is down.
+	source.setChanges(func() (*ReadResult, error) { return &ReadResult{Revision: 20}, nil })
+	eventually(t, func() bool { advance(50 * time.Millisecond); return cache.State().Revision == 20 })
+	advance(removalDelay)
+	source.setChanges(func() (*ReadResult, error) { return &ReadResult{Revision: 21, RemovedIDs: []string{"1"}}, nil })
+	eventually(t, func() bool { advance(50 * time.Millisecond); return cache.State().Revision == 21 })
+	require.NotContains(t, cache.State().Servers, "1")
+}
