Let the test of a late removal read between its steps

The test moved its clock 2 s at once and 50 ms a poll; the loop reads on real time, and when more than 3 s of the clock passed without a read, that counted as another outage, after which a removal is delayed rightly. A fault of the test, not of the code.

--- a/io/berylstorecache/storecache_test.go
+++ b/io/berylstorecache/storecache_test.go
@@ -247,8 +247,12 @@
 	advance(10 * time.Second) // The store is down.
 	source.setChanges(func() (*ReadResult, error) { return &ReadResult{Revision: 20}, nil })
 	eventually(t, func() bool { advance(50 * time.Millisecond); return cache.State().Revision == 20 })
-	advance(removalDelay)
+	// In steps short enough for reads in between, as a long time without one counts as an outage.
+	for range 250 {
+		advance(removalDelay / 200)
+		time.Sleep(5 * time.Millisecond)
+	}
 	source.setChanges(func() (*ReadResult, error) { return &ReadResult{Revision: 21, RemovedIDs: []string{"1"}}, nil })
-	eventually(t, func() bool { advance(50 * time.Millisecond); return cache.State().Revision == 21 })
+	eventually(t, func() bool { advance(10 * time.Millisecond); return cache.State().Revision == 21 })
 	require.NotContains(t, cache.State().Servers, "1")
 }
