Write no answer after one that ended in a panic

What callers saw: on a connection with pipelined requests, an answer whose body panicked while it was written was followed by the answer to the next request. If nothing of the first was written yet, the caller took the next answer for it.

Cause: reply closed the channel written in a deferred call, which runs while the panic unwinds; the connection was marked as ended only after the guard outside had recovered and logged. Between the two, the reply that waited for the channel found a connection that had not ended. The class: a signal that an event is over, sent before the state that the waiting one reads is set.

Change: the guard is inside reply, and the connection is marked as ended before written is closed. Replies to requests that could not be read are now guarded too. The other deferred closes (berylloop, beryllog, berylfaultlink) signal the end of a goroutine and set no state after it; the guards of berylmesh, berylconnpool and berylrunner close the connection or free the slot before anyone else is told.

--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -181,9 +181,7 @@
 			}
 			a = c.server.Handle(ctx, r)
 		})
-		if !c.server.guard(panicPart, func() { c.reply(ctx, written, prevWritten, a, closeAfter) }) {
-			c.fail()
-		}
+		c.reply(ctx, written, prevWritten, a, closeAfter)
 		if stream != nil {
 			stream.discardUnread()
 		}
@@ -264,10 +262,17 @@
 }
 
 // reply waits until prevWritten is closed and writes the answer. It closes written when
-// the answer is written or the connection aborted.
+// the answer is written or no further answer may be written.
 func (c *conn) reply(ctx context.Context, written, prevWritten chan struct{}, a *Answer, closeAfter bool) {
-	defer close(written)
 	<-prevWritten
+	if !c.server.guard(panicPart, func() { c.writeOrAbort(ctx, a, closeAfter) }) {
+		c.fail() // before written is closed, which lets the next answer be written
+	}
+	close(written)
+}
+
+// writeOrAbort writes the answer, or closes the connection if it can't be written whole.
+func (c *conn) writeOrAbort(ctx context.Context, a *Answer, closeAfter bool) {
 	if a.Stream != nil {
 		defer func() { _ = a.Stream.Close() }() // It was read to its end, or the rest is not needed.
 	}
--- a/io/berylhttpserver/panic_test.go
+++ b/io/berylhttpserver/panic_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -78,3 +79,31 @@
 	require.Equal(t, []string{"200 /slow"}, readAnswers(t, slow, 1))
 	require.Eventually(t, func() bool { return s.Busy() == 0 }, time.Second, time.Millisecond)
 }
+
+// The caller took the answer to the third request for that to the second.
+func TestNextAnswerIsWrittenInPlaceOfOneThatPanicked(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	guard := berylpanic.New(zerolog.Nop(), berylpanic.OnPanic(func(string) {
+		time.Sleep(100 * time.Millisecond) // enough for the next answer, if it isn't held back
+	}))
+	s := New(ln, func(_ context.Context, r *Request) *Answer {
+		if r.Path == "/second" {
+			return &Answer{Status: 200, Header: http.Header{}, Stream: panicReader{}, Length: -1}
+		}
+		return textAnswer(r.Path)
+	}, func(*Request) bool { return false }, testLimits, Guard(guard.Run))
+	done := make(chan struct{})
+	go func() { s.Run(context.Background()); close(done) }()
+	t.Cleanup(func() { s.Close(); <-done })
+	c, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = io.WriteString(c, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\nGET /third HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(2*time.Second)))
+	all, err := io.ReadAll(c)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.Contains(t, string(all), "/first")
+	require.NotContains(t, string(all), "/third")
+}
