Ask other data centres when the tokens granted are too short to spend

What callers saw: after an instance is killed in a data centre whose shards then have no quorum, calls are refused with "no token of workspace w was free", although the plan's rate is five times the demand and another data centre has tokens.

Evidence: the test with a trace of every request for tokens (a scratch copy). The owner can no longer renew its ownership of the shard, so the tokens that it grants live shorter and shorter. A token is spent only while more than 300 ms of it are left. Below that the owner granted all that was wanted, none of it could be spent, and since the grant was whole, its data centre was not set aside and was asked again at once: 279 requests in 0.3 s, none to the other data centre, and the four calls that waited were refused after 200 ms. Without load the owner's bucket is often emptied by these requests, which sets the data centre aside; beside load it lasts.

The test looked at one second after the kill, and the tokens become too short 0.8 to 1.2 s after it: that is why it failed only now and then.

Cause: whether a data centre has enough was judged by the number of tokens granted, not by what can be spent. The limiter of the plain HTTP path lends without ownerships, with a fixed lifetime, and is not affected.

Change: a grant too short to spend sets its data centre aside like one that is too small, and the next request goes to another data centre. The test looks at two seconds after the kill, past the end of every ownership.

--- a/core/beryltokencache/cache.go
+++ b/core/beryltokencache/cache.go
@@ -251,11 +251,12 @@
 	if !p.remote {
 		a.fleetDemand, a.fleetDemandAt = granted.FleetDemand, now
 	}
+	expires := p.sentAt.Add(c.timing.ShortenForDrift(granted.TTL))
+	usable := now.Add(minRemainingTTL).Before(expires)
 	if granted.Tokens > 0 {
-		expires := p.sentAt.Add(c.timing.ShortenForDrift(granted.TTL))
 		a.batches = append(a.batches, batch{id: granted.ID, zone: zone, tokens: granted.Tokens, expires: expires})
 	}
-	if granted.Tokens < p.tokens {
+	if granted.Tokens < p.tokens || !usable {
 		a.skipUntil[zone] = now.Add(p.backoff)
 	}
 }
--- a/io/berylapp/process_test.go
+++ b/io/berylapp/process_test.go
@@ -93,7 +93,7 @@
 	}
 	time.Sleep(300 * time.Millisecond)
 	s.nodes[1].crash()
-	time.Sleep(time.Second)
+	time.Sleep(2 * time.Second) // longer than an ownership lasts that can't be renewed
 	close(stop)
 	calls.Wait()
 	require.Zero(t, failed.Load())
