Remove the timeout of a streamed body once the body has been read

What callers would see: a request with a body above 64 KiB whose handling goes on for more than 30 s from the start of its body is canceled, and its connection closed without an answer.

Cause: the read deadline that bounds the body stayed on the connection after its end. The wait for the next request then failed with it, was taken for the end of the connection, and canceled the requests that still ran. The same class: setIdleTimeout could replace the deadline of linger after the last answer.

Change: the reader removes the deadline of a request when it has been read, unless the last answer has set that of linger; setIdleTimeout leaves a connection alone that has had its last answer.

--- a/io/berylhttpserver/body.go
+++ b/io/berylhttpserver/body.go
@@ -79,7 +79,6 @@
 	r.Body = first
 	if len(first) < maxBufferedBody || int64(len(first)) == httpReq.ContentLength {
 		r.Length = int64(len(first))
-		c.setReadTimeout(0)
 		return nil, true
 	}
 	stream := &bodyStream{r: bounded, done: make(chan struct{})}
--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -67,14 +67,33 @@
 		return
 	}
 	c.readingStopped = true
-	_ = c.nc.SetReadDeadline(time.Now()) // Unblocks the reader. It fails only if the connection is closed.
+	c.unblockReader()
+}
+
+// unblockReader makes the current and all further reads fail.
+func (c *conn) unblockReader() {
+	_ = c.nc.SetReadDeadline(time.Now()) // Fails only if the connection is closed.
+}
+
+// endReading removes the timeout that applied to the request, unless the last answer has set
+// that of linger.
+func (c *conn) endReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.ended:
+	case c.readingStopped:
+		c.unblockReader()
+	default:
+		_ = c.nc.SetReadDeadline(time.Time{}) // Fails only if the connection is closed.
+	}
 }
 
 // setIdleTimeout starts the idle timeout if no request is pending.
 func (c *conn) setIdleTimeout() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == 0 && !c.readingStopped {
+	if c.pending == 0 && !c.readingStopped && !c.ended {
 		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout))
 	}
 }
@@ -95,6 +114,7 @@
 		}
 		limits := c.server.Limits()
 		written, ok := c.readRequest(ctx, limits, prevWritten)
+		c.endReading()
 		prevWritten = written
 		if !ok {
 			// Answers are still to be written. If the caller disconnects before the
@@ -148,7 +168,6 @@
 		c.wg.Go(func() { c.reply(ctx, written, prevWritten, &Answer{Status: status, Close: true}, false) })
 		return written, false
 	}
-	c.setReadTimeout(0)
 	r := &Request{Method: httpReq.Method, URI: httpReq.RequestURI, Path: httpReq.URL.EscapedPath(), Host: httpReq.Host, Header: httpReq.Header, Length: httpReq.ContentLength, ReceivedAt: time.Now()}
 	r.CallerGone = func() bool { return berylsocket.Peek(c.nc) == berylsocket.Closed }
 	c.addPending()
@@ -212,17 +231,15 @@
 	return http.StatusBadRequest
 }
 
-// setReadTimeout sets the timeout for all further reads together. 0 removes it, except
+// setReadTimeout sets the timeout for all further reads of the request together, except
 // after stopReading.
 func (c *conn) setReadTimeout(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch {
-	case timeout > 0:
-		_ = c.nc.SetReadDeadline(time.Now().Add(timeout)) // Fails only if the connection is closed.
-	case !c.readingStopped:
-		_ = c.nc.SetReadDeadline(time.Time{}) // As above.
+	if c.readingStopped {
+		return
 	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(timeout)) // Fails only if the connection is closed.
 }
 
 func (c *conn) isReadingStopped() bool {
