Read the request that is arriving when a planned stop begins

What callers saw: on SIGTERM the daemon closes connections on which a request is arriving, although it has its grace time left. A long upload is always cut, and a server that has begun to read it gets half a body; a request whose head or body comes in two packets is cut when the stop falls between them.

Cause: stopReading unblocked the reader whatever it was reading.

Change: only a reader that waits for the next request is unblocked. One that has the first byte of a request reads it to the end of its body, within the timeouts for heads and bodies, and the request is answered; later ones on the connection are not read. Drain bounds the whole as before.

--- a/io/berylhttpserver/body_test.go
+++ b/io/berylhttpserver/body_test.go
@@ -13,6 +13,47 @@
 	"github.com/stretchr/testify/require"
 )
 
+// A planned stop closed connections on which the body of a request was still arriving.
+func TestDrainCutsBodyThatIsStillArriving(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		size int
+	}{
+		{"buffered", 10},
+		{"streamed", maxBufferedBody + 10},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, dial := startServer(t, func(_ context.Context, r *Request) *Answer {
+				n := int64(len(r.Body))
+				if r.Stream != nil {
+					m, err := io.Copy(io.Discard, r.Stream)
+					if err != nil {
+						return &Answer{Abort: true}
+					}
+					n += m
+				}
+				return textAnswer(fmt.Sprint(n))
+			})
+			conn, idle := dial(), dial()
+			_, err := fmt.Fprintf(conn, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", c.size, strings.Repeat("a", c.size-5))
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+			done := make(chan struct{})
+			go func() { s.Drain(5 * time.Second); close(done) }()
+			_, err = idle.Read(make([]byte, 1))
+			require.Error(t, err)
+			_, err = io.WriteString(conn, "bbbbbGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+			require.NoError(t, err)
+			require.Equal(t, []string{fmt.Sprintf("200 %d", c.size)}, readAnswers(t, conn, 1))
+			select {
+			case <-done:
+			case <-time.After(time.Second):
+				t.Fatal("Drain did not return within 1 s after the last answer")
+			}
+		})
+	}
+}
+
 // pipeListener accepts the connections of a channel.
 type pipeListener chan net.Conn
 
--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -36,6 +36,7 @@
 	mu                sync.Mutex
 	pending           int  // number of requests that were read and whose answers are not yet written
 	keepAliveDisabled bool // close after the next answer that leaves no request pending
+	reading           bool // a request, from its first byte to the end of its body
 	readingStopped    bool
 	ended             bool // set by the last answer and by abort
 	wg                sync.WaitGroup
@@ -59,7 +60,8 @@
 	c.mu.Unlock()
 }
 
-// stopReading stops reading requests. Requests that were read are still answered.
+// stopReading stops reading requests. A request that has begun to arrive is still read, and
+// all requests that were read are answered.
 func (c *conn) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -67,7 +69,9 @@
 		return
 	}
 	c.readingStopped = true
-	c.unblockReader()
+	if !c.reading {
+		c.unblockReader()
+	}
 }
 
 // unblockReader makes the current and all further reads fail.
@@ -75,11 +79,20 @@
 	_ = c.nc.SetReadDeadline(time.Now()) // Fails only if the connection is closed.
 }
 
+// beginReading reports whether the next request may be read.
+func (c *conn) beginReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = !c.readingStopped
+	return c.reading
+}
+
 // endReading removes the timeout that applied to the request, unless the last answer has set
 // that of linger.
 func (c *conn) endReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
 	switch {
 	case c.ended:
 	case c.readingStopped:
@@ -106,7 +119,7 @@
 	close(prevWritten)
 	for {
 		c.setIdleTimeout()
-		if _, err := c.br.Peek(1); err != nil || c.isReadingStopped() {
+		if _, err := c.br.Peek(1); err != nil || !c.beginReading() {
 			if c.isReadingStopped() {
 				<-prevWritten // The caller may still wait for its answers.
 			}
@@ -231,14 +244,8 @@
 	return http.StatusBadRequest
 }
 
-// setReadTimeout sets the timeout for all further reads of the request together, except
-// after stopReading.
+// setReadTimeout sets the timeout for all further reads of the request together.
 func (c *conn) setReadTimeout(timeout time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.readingStopped {
-		return
-	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(timeout)) // Fails only if the connection is closed.
 }
 
