Play more faults and no control in the demo of the plain HTTP path

Change: -case http takes -policy off|full and -fault surge, slow, storm (1.5 times what the servers can do, callers return at once up to three times), roll (the daemons beside the backend servers are restarted) and lost (a server runs requests and doesn't answer); unknown ones are errors.

--- a/io/berylapp/app.go
+++ b/io/berylapp/app.go
@@ -9,7 +9,8 @@
 	"io"
 	"os/signal"
 	"syscall"
-	"time"
+
+	"berylspan/io/beryldemo"
 )
 
 // App runs one subcommand.
@@ -17,7 +18,7 @@
 	out      io.Writer
 	err      io.Writer
 	sidecar  func(ctx context.Context, out io.Writer) int
-	demoHTTP func(ctx context.Context, out io.Writer, long time.Duration, seed uint64) (violations int, err error)
+	demoHTTP func(ctx context.Context, opt beryldemo.Options) (violations int, err error)
 }
 
 // Exit codes.
@@ -44,7 +45,7 @@
 }
 
 // DemoHTTP sets what the demo plays with case http.
-func DemoHTTP(run func(ctx context.Context, out io.Writer, long time.Duration, seed uint64) (violations int, err error)) func(*App) {
+func DemoHTTP(run func(ctx context.Context, opt beryldemo.Options) (violations int, err error)) func(*App) {
 	return func(a *App) { a.demoHTTP = run }
 }
 
--- a/io/berylapp/commands.go
+++ b/io/berylapp/commands.go
@@ -163,22 +163,22 @@
 func (a *App) demo(ctx context.Context, args []string) int {
 	fs := a.flags("demo", "[flags]")
 	opt := beryldemo.Options{Out: a.out}
-	fs.StringVar(&opt.Case, "case", "huella", "deployment: huella, karri, or http for the plain HTTP path (there only -seed and -for count)")
-	fs.StringVar(&opt.Policy, "policy", "full", "off (no control), split (fixed limits, equal split) or full")
+	fs.StringVar(&opt.Case, "case", "huella", "deployment: huella, karri, or http for the plain HTTP path (without -json)")
+	fs.StringVar(&opt.Policy, "policy", "full", "off (no control), split (fixed limits, equal split; not for http) or full")
 	fs.Uint64Var(&opt.Seed, "seed", 1, "seed of the callers' random choices")
 	fs.DurationVar(&opt.For, "for", 20*time.Second, "length of the run")
-	fs.StringVar(&opt.Fault, "fault", "none", fmt.Sprintf("faults joined by +: %v", beryldemo.Faults()))
+	fs.StringVar(&opt.Fault, "fault", "none", fmt.Sprintf("faults joined by +: %v; for http surge, slow, storm, roll, lost, none for the first two", beryldemo.Faults()))
 	fs.BoolVar(&opt.JSON, "json", false, "print one JSON object only")
 	if code, done := parse(fs, args); done {
 		return code
 	}
 	run := func() (int, error) { return beryldemo.Run(ctx, opt) }
 	if opt.Case == "http" && a.demoHTTP != nil {
-		if unused := flagsWithout(fs, "case", "seed", "for"); len(unused) > 0 {
+		if unused := flagsWithout(fs, "case", "seed", "for", "policy", "fault"); len(unused) > 0 {
 			a.complain("demo -case http does not take %s", strings.Join(unused, ", "))
 			return Usage
 		}
-		run = func() (int, error) { return a.demoHTTP(ctx, a.out, opt.For, opt.Seed) }
+		run = func() (int, error) { return a.demoHTTP(ctx, opt) }
 	}
 	violations, err := run()
 	if err != nil {
