--- a/io/berylapp/commands.go
+++ b/io/berylapp/commands.go
@@ -167,7 +167,7 @@
 	fs.StringVar(&opt.Policy, "policy", "full", "off (no control), split (fixed limits, equal split; not for http) or full")
 	fs.Uint64Var(&opt.Seed, "seed", 1, "seed of the callers' random choices")
 	fs.DurationVar(&opt.For, "for", 20*time.Second, "length of the run")
-	fs.StringVar(&opt.Fault, "fault", "none", fmt.Sprintf("faults joined by +: %v; for http surge, slow, storm, roll, lost, none for the first two", beryldemo.Faults()))
+	fs.StringVar(&opt.Fault, "fault", "none", fmt.Sprintf("faults joined by +: %v; for http: surge, slow, storm, roll, lost; none stands for surge+slow", beryldemo.Faults()))
 	fs.BoolVar(&opt.JSON, "json", false, "print one JSON object only")
 	if code, done := parse(fs, args); done {
 		return code
