Refuse calls for want of tokens early only after an owner has denied some

What callers saw: a call within the rate of its plan was refused with "no token of workspace w was free".

In the trace an instance asks another data centre for 2 tokens while 2 calls wait. The connection is silent, the answer comes after 179 ms on a new one and grants both. 8 more calls have arrived meanwhile. The next request goes to the own data centre, whose connection is silent too, and 22 ms later the remaining calls have waited 200 ms and are refused.

Cause: a call waits 200 ms once an owner of its shard has answered, 1 s before that. Any answer counted, also one that granted all that was asked, which says nothing of calls that arrived later. The class: an answer taken for a denial. Looked for elsewhere: the limiter of the plain HTTP path ends its wait on a denial only, or falls back on its own share.

Change: only an answer with fewer tokens than were requested shortens the wait. The answer to a repeated request does not count, as its tokens may have been granted to the first one.

--- a/io/berylrates/limiter.go
+++ b/io/berylrates/limiter.go
@@ -44,11 +44,11 @@
 	owners  map[zoneShard]string   // IDs of the instances to send the next requests to
 }
 
-// tokenFetch is a request for tokens that calls wait for. answered may be read once done
-// is closed, and tells whether the owner of the shard answered.
+// tokenFetch is a request for tokens that calls wait for. denied may be read once done is
+// closed, and tells whether the owner of the shard granted fewer tokens than were requested.
 type tokenFetch struct {
-	done     chan struct{}
-	answered bool
+	done   chan struct{}
+	denied bool
 }
 
 type zoneShard struct {
@@ -57,8 +57,8 @@
 }
 
 const (
-	maxTokenWait     = 200 * time.Millisecond // for a token while the owners of shards answer
-	maxOwnerWait     = time.Second            // for a token while no owner answers, which does not mean that the workspace is over its rate
+	maxTokenWait     = 200 * time.Millisecond // for a token once the owner of a shard has granted fewer than were requested
+	maxOwnerWait     = time.Second            // for a token until then, as nothing tells that the workspace is over its rate
 	localTimeout     = 60 * time.Millisecond  // of a request to the own data centre
 	remoteTimeout    = 150 * time.Millisecond // of a request to another data centre
 	prefetchInterval = 20 * time.Millisecond
@@ -146,8 +146,8 @@
 }
 
 // Take spends one token of the workspace for a call of the class, waiting up to
-// maxTokenWait for one, or up to maxOwnerWait if no owner of its shard answers, and returns
-// the time until which the call may begin.
+// maxTokenWait for one, or up to maxOwnerWait if no owner of its shard denies one, and
+// returns the time until which the call may begin.
 func (l *Limiter) Take(ctx context.Context, w *berylworkspace.Workspace, class berylclass.Class) (time.Time, *berylrefusal.Refusal) {
 	now := l.clock()
 	l.mu.Lock()
@@ -181,8 +181,8 @@
 	start := time.Now()
 	timer := time.NewTimer(maxTokenWait)
 	defer timer.Stop()
-	for limit, answered := maxOwnerWait, false; ; {
-		if answered {
+	for limit, denied := maxOwnerWait, false; ; {
+		if denied {
 			limit = maxTokenWait
 		}
 		l.mu.Lock()
@@ -198,7 +198,7 @@
 		l.mu.Unlock()
 		select {
 		case <-fetch.done:
-			answered = answered || fetch.answered
+			denied = denied || fetch.denied
 		case <-ctx.Done():
 		case <-timer.C:
 			timer.Reset(maxOwnerWait - maxTokenWait)
@@ -248,11 +248,13 @@
 		timeout = localTimeout
 	}
 	reply, err := l.requestTokens(addr, req, timeout)
-	if errors.Is(err, context.DeadlineExceeded) {
+	repeated := errors.Is(err, context.DeadlineExceeded)
+	if repeated {
 		// The connection may have gone silent. After a time-out the client uses
 		// another connection to the same address.
 		reply, err = l.requestTokens(addr, req, timeout)
 	}
+	denied := false
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock()
@@ -267,10 +269,12 @@
 	default:
 		l.owners[zoneShard{zone, shard}] = id
 		batch := reply.Batches[0]
+		// A repeated request gets no tokens if they were granted to the first one.
+		denied = !repeated && batch.N < req.TotalTokens()
 		l.cache.HandleBatch(now, req.Workspace, zone, beryltokenbatch.Batch{ID: batch.Id, Tokens: batch.N, TTL: time.Duration(batch.Life), FleetDemand: batch.Demand})
 	}
 	if f := l.awaited[req.Workspace]; f != nil {
-		f.answered = err == nil && reply.Owner
+		f.denied = denied
 		close(f.done)
 		delete(l.awaited, req.Workspace)
 	}
--- a/io/berylrates/limiter_test.go
+++ b/io/berylrates/limiter_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,15 +23,15 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// owner answers requests for tokens with the given number of tokens after a time in which
-// no answer arrives.
+// owner answers requests for tokens with as many as grant returns. No answer arrives while
+// silent returns true.
 type owner struct {
-	silentUntil time.Time
-	tokens      float64
+	silent func() bool
+	grant  func(want float64) float64
 }
 
 func (o owner) Do(req *http.Request) (*http.Response, error) {
-	if time.Now().Before(o.silentUntil) {
+	if o.silent() {
 		<-req.Context().Done()
 		return nil, req.Context().Err()
 	}
@@ -42,19 +43,34 @@
 	if err := proto.Unmarshal(body, ask); err != nil {
 		return nil, err
 	}
-	reply, err := proto.Marshal(&berylwire.GrantReply{Owner: true, Batches: []*berylwire.Batch{{Id: ask.Asks[0].Id, N: o.tokens, Life: int64(time.Second)}}})
+	want := 0.0
+	for _, n := range ask.Asks[0].Want {
+		want += n
+	}
+	reply, err := proto.Marshal(&berylwire.GrantReply{Owner: true, Batches: []*berylwire.Batch{{Id: ask.Asks[0].Id, N: o.grant(want), Life: int64(time.Second)}}})
 	if err != nil {
 		return nil, err
 	}
 	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"application/protobuf"}}, Body: io.NopCloser(bytes.NewReader(reply))}, nil
 }
 
+func testWorkspace() *berylworkspace.Workspace {
+	return &berylworkspace.Workspace{Name: "w", Plan: &berylplan.Plan{Rate: 100, Burst: 50}}
+}
+
+// newTestLimiter returns a running limiter whose requests for tokens go to o.
+func newTestLimiter(t *testing.T, o owner) *Limiter {
+	cfg := &berylconfig.Config{Zones: []berylzone.Zone{{Name: "a", Weight: 1}}}
+	snapshot := berylsnapshot.New(cfg, []berylinstance.Instance{{ID: "s-1", Zone: "a", PeerAddr: "127.0.0.1:1"}})
+	l := New("s-0", "a", func() *berylsnapshot.Snapshot { return snapshot }, berylcontrolclients.New(o, "http", "secret"))
+	t.Cleanup(l.Close)
+	go l.Run(t.Context())
+	return l
+}
+
 // Beside other load the connections to the owner of a shard took longer to replace than a
 // call waited for a token, and calls of a workspace within its rate were refused.
 func TestCallWaitsForTokenWhileOwnerIsSilent(t *testing.T) {
-	w := &berylworkspace.Workspace{Name: "w", Plan: &berylplan.Plan{Rate: 100, Burst: 50}}
-	cfg := &berylconfig.Config{Zones: []berylzone.Zone{{Name: "a", Weight: 1}}}
-	snapshot := berylsnapshot.New(cfg, []berylinstance.Instance{{ID: "s-1", Zone: "a", PeerAddr: "127.0.0.1:1"}})
 	for _, tc := range []struct {
 		name     string
 		silent   time.Duration
@@ -68,15 +84,43 @@
 		{"owner never answers", time.Minute, 10, false, maxOwnerWait + 200*time.Millisecond},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			l := New("s-0", "a", func() *berylsnapshot.Snapshot { return snapshot }, berylcontrolclients.New(owner{time.Now().Add(tc.silent), tc.tokens}, "http", "secret"))
-			t.Cleanup(l.Close)
-			ctx, cancel := context.WithCancel(context.Background())
-			t.Cleanup(cancel)
-			go l.Run(ctx)
 			start := time.Now()
-			_, refusal := l.Take(ctx, w, berylclass.Standard)
+			l := newTestLimiter(t, owner{
+				silent: func() bool { return time.Since(start) < tc.silent },
+				grant:  func(float64) float64 { return tc.tokens },
+			})
+			start = time.Now()
+			_, refusal := l.Take(t.Context(), testWorkspace(), berylclass.Standard)
 			require.Equal(t, tc.admitted, refusal == nil)
 			require.Less(t, time.Since(start), tc.maxWait)
 		})
 	}
 }
+
+// Calls of a workspace within its rate were refused after 200 ms because the owner had
+// answered a request sent before they arrived, although it granted all that was asked.
+func TestCallsWaitForTokenAfterOwnerGrantedAllThatWasAsked(t *testing.T) {
+	const silentUntil = 400 * time.Millisecond
+	start := time.Now()
+	var requests atomic.Int64
+	l := newTestLimiter(t, owner{
+		silent: func() bool { return requests.Add(1) > 1 && time.Since(start) < silentUntil },
+		grant: func(want float64) float64 {
+			time.Sleep(20 * time.Millisecond) // The other calls arrive meanwhile.
+			return want
+		},
+	})
+	start = time.Now()
+	var calls sync.WaitGroup
+	var refused atomic.Int64
+	for range 10 {
+		calls.Go(func() {
+			if _, refusal := l.Take(t.Context(), testWorkspace(), berylclass.Standard); refusal != nil {
+				refused.Add(1)
+			}
+		})
+	}
+	calls.Wait()
+	require.Zero(t, refused.Load())
+	require.GreaterOrEqual(t, time.Since(start), maxTokenWait, "some calls wait until the owner answers again")
+}
