Take no status from answers of a former backend server

What callers could see: requests refused with reason "draining" by an instance whose new backend server serves well, until its daemon is restarted.

Cause: what an answer says about its server was recorded for the run of the server known at that moment, not for the one that the request was sent to. A daemon that wakes from a freeze reads the last answer of a leaving server and the list with its successor at nearly the same time. A leaving server stays so, a limit until the next answer.

Change: the run is noted when the request is sent, and an answer for another run says nothing (limit, leaving, load). A request that names a newer run than the list entry counts as news of that run; while no entry is known, one that names an older run than the known one does not.

--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -183,11 +183,7 @@
 	if r.shuttingDown {
 		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonShuttingDown)
 	}
-	if known {
-		r.trackLifetime(entry.ID, entry.Born)
-	} else {
-		r.trackLifetime(req.ServerID, req.ServerStartMs)
-	}
+	r.trackLifetime(r.newestLifetime(entry, known, req))
 	if known && (entry.Service != req.Service || (entry.ID != req.ServerID && entry.Born >= req.ServerStartMs)) {
 		reply := berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonWrongServer)
 		reply.ActualServerID = entry.ID
@@ -312,7 +308,7 @@
 			onDone()
 		}
 	}()
-	pool := r.recordStart(start, req)
+	pool, sentTo := r.recordStart(start, req)
 	h := req.Header.Clone()
 	h.Set(r.names.TimeLeft, strconv.FormatInt(max(1, req.Deadline.Sub(start).Milliseconds()), 10))
 	h.Set(r.names.RequestID, req.ID)
@@ -322,7 +318,7 @@
 	reply := pool.Send(ctx, &berylconnpool.Request{
 		Method: req.Method, URI: req.URI, Host: req.Host, ID: req.ID, Header: h,
 		Body: req.Body, Stream: req.Stream, Length: req.Length, NonIdempotent: !req.Idempotent,
-		OnHeader: func(h http.Header) { r.recordHeader(req.ServerID, h) },
+		OnHeader: func(h http.Header) { r.recordHeader(sentTo, h) },
 	}, onDone)
 	if !req.Nested {
 		r.recordEnd(ctx, req, reply)
@@ -331,8 +327,9 @@
 	return reply
 }
 
-// recordStart records that a request starts and returns the pool to send it with.
-func (r *Runner) recordStart(now time.Time, req *berylrequest.Request) *berylconnpool.Pool {
+// recordStart records that a request starts. It returns the pool to send it with and the run
+// of the backend server that it is sent to.
+func (r *Runner) recordStart(now time.Time, req *berylrequest.Request) (*berylconnpool.Pool, lifetime) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.callGraph.RequestStarted(now, req.Rule)
@@ -341,7 +338,7 @@
 	}
 	r.running[req.Rule]++
 	r.ranks[req.Rule] = req.Rank
-	return r.pool
+	return r.pool, r.lifetime
 }
 
 // recordDone records that the backend server has finished with a request.
@@ -362,7 +359,7 @@
 
 // recordServerLoad evaluates the load that the server reports: running requests, waiting
 // requests and slots, separated by commas. Requests that it has beyond those sent from
-// here are requests that were given up.
+// here are requests that were given up. The caller holds the lock.
 func (r *Runner) recordServerLoad(load string) {
 	running, rest, _ := strings.Cut(load, ",")
 	waiting, _, ok := strings.Cut(rest, ",")
@@ -374,8 +371,6 @@
 	if err != nil || err2 != nil {
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	ownRunning, _, _ := r.admission.State()
 	r.abandoned = max(0, runningCount+waitingCount-ownRunning-1)
 	r.loadReportedAt = time.Now()
--- a/io/berylrunner/status.go
+++ b/io/berylrunner/status.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"berylspan/core/berylregistration"
 	"berylspan/core/berylserverstatus"
 	"berylspan/io/berylrequest"
 )
@@ -14,10 +15,22 @@
 	return func(r *Runner) { r.onServerStatus = f }
 }
 
+// newestLifetime returns the newest run of the backend server that its list entry, if known,
+// or a request tells of. The caller holds the lock.
+func (r *Runner) newestLifetime(entry berylregistration.Registration, known bool, req *berylrequest.Request) lifetime {
+	listed := lifetime{entry.ID, entry.Born}
+	if !known {
+		listed = r.lifetime
+	}
+	if listed.id == "" || req.ServerStartMs > listed.bornMs {
+		return lifetime{req.ServerID, req.ServerStartMs}
+	}
+	return listed
+}
+
 // trackLifetime forgets what an earlier run of the backend server said about itself. The
 // caller holds the lock.
-func (r *Runner) trackLifetime(id string, bornMs int64) {
-	current := lifetime{id, bornMs}
+func (r *Runner) trackLifetime(current lifetime) {
 	if r.lifetime == current {
 		return
 	}
@@ -45,34 +58,42 @@
 	}
 }
 
-// recordHeader evaluates what the header of an answer says about the backend server.
-func (r *Runner) recordHeader(serverID string, h http.Header) {
+// recordHeader evaluates what the header of an answer says about the run of the backend
+// server that the request was sent to. A late answer of an earlier run says nothing.
+func (r *Runner) recordHeader(sentTo lifetime, h http.Header) {
+	r.mu.Lock()
+	if sentTo != r.lifetime {
+		r.mu.Unlock()
+		return
+	}
 	r.recordServerLoad(h.Get(r.names.ServerLoad))
-	r.recordStatus(serverID, h)
+	known := r.status
+	err := r.recordStatus(h)
+	status := r.status
+	r.mu.Unlock()
+	if err != nil || status != known {
+		r.onServerStatus(sentTo.id, status, err)
+	}
 }
 
 // recordStatus evaluates what the header of an answer says about the state of the server.
 // The absence of a field counts only in signed answers: others need not come from the
-// server's request handling.
-func (r *Runner) recordStatus(serverID string, h http.Header) {
+// server's request handling. It returns an error for a malformed limit that was not reported
+// before. The caller holds the lock.
+func (r *Runner) recordStatus(h http.Header) error {
 	limit := h.Get(r.names.ServerLimit)
 	status, err := berylserverstatus.Parse(limit, h.Get(r.names.ServerLeaving))
 	signed := h.Get(r.names.ResponseSignature) != ""
-	r.mu.Lock()
-	known := r.status
-	status = known.Update(status, err == nil && signed)
-	if err != nil && limit == r.malformedLimit {
-		err = nil // Reported before.
-	} else if err != nil {
-		r.malformedLimit = limit
-	}
-	r.status = status
+	r.status = r.status.Update(status, err == nil && signed)
 	r.answered = r.answered || signed
 	r.applyStatus()
-	r.mu.Unlock()
-	if err != nil || status != known {
-		r.onServerStatus(serverID, status, err)
+	if err != nil && limit == r.malformedLimit {
+		return nil
+	}
+	if err != nil {
+		r.malformedLimit = limit
 	}
+	return err
 }
 
 // applyStatus makes the admission control keep to what the server accepts. The caller holds
