Use one type and one word for lifetimes of backend servers

Cause: the runner called the time between two starts of a backend server a lifetime, the departures and several comments a run, which elsewhere means that a request runs.

Change: core/beryllifetime has the type, and registrations and requests tell theirs. Names and comments follow. No behaviour, field of a message or log line changes.

--- a/core/berylregistration/registration.go
+++ b/core/berylregistration/registration.go
@@ -5,6 +5,8 @@
 import (
 	"net"
 	"time"
+
+	"berylspan/core/beryllifetime"
 )
 
 // Registration is the entry of one backend server. Addr is where the daemon on the
@@ -18,7 +20,7 @@
 	Slots   int
 	Leaving bool
 	Warm    time.Duration // remaining warm-up time, in which the backend server is slow
-	Born    int64         // start in Unix milliseconds, tells runs under the same ID apart
+	Born    int64         // start in Unix milliseconds, distinguishes lifetimes under one ID
 }
 
 // Host returns the address of the instance, "" if Addr is not valid.
@@ -30,8 +32,13 @@
 	return host
 }
 
-// Equivalent reports whether both entries describe the same run of a backend server
-// in the same state. It ignores Warm.
+// Lifetime returns the lifetime of the backend server that the entry describes.
+func (r Registration) Lifetime() beryllifetime.Lifetime {
+	return beryllifetime.Lifetime{ID: r.ID, BornMs: r.Born}
+}
+
+// Equivalent reports whether both entries describe the same lifetime of a backend
+// server in the same state. It ignores Warm.
 func (r Registration) Equivalent(other Registration) bool {
 	r.Warm, other.Warm = 0, 0
 	return r == other
--- a/core/beryltracker/tracker.go
+++ b/core/beryltracker/tracker.go
@@ -31,7 +31,7 @@
 	suspectUntil     time.Time
 	failures         int                      // in a row, without those while the instance was suspect
 	status           berylserverstatus.Status // what the server said in its last answer
-	statusOf         int64                    // start of the run of the server that said it
+	statusOf         int64                    // start of the server that said it
 	lastUsed         time.Time
 	lastSent         time.Time
 }
@@ -86,14 +86,13 @@
 	}
 }
 
-// StatusReported records what a server said about itself in an answer. born is the start of
-// its run.
+// StatusReported records what a server said about itself in an answer. born is its start.
 func (t *Tracker) StatusReported(now time.Time, id string, born int64, status berylserverstatus.Status) {
 	in := t.get(now, id)
 	in.status, in.statusOf = status, born
 }
 
-// Status returns what a run of a server said about itself in its last answer.
+// Status returns what a server said about itself in its last answer since its start born.
 func (t *Tracker) Status(id string, born int64) berylserverstatus.Status {
 	if in := t.instances[id]; in != nil && in.statusOf == born {
 		return in.status
--- a/io/berylrequest/request.go
+++ b/io/berylrequest/request.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"berylspan/core/beryllifetime"
 )
 
 // Request is a request of a caller, together with what the instance that received it
@@ -33,3 +35,8 @@
 	Deadline      time.Time // from then on an answer is useless
 	TargetTime    time.Time // until then an answer is of full use
 }
+
+// Lifetime returns the lifetime of the backend server that the request is meant for.
+func (r *Request) Lifetime() beryllifetime.Lifetime {
+	return beryllifetime.Lifetime{ID: r.ServerID, BornMs: r.ServerStartMs}
+}
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -15,6 +15,7 @@
 	"berylspan/core/berylcallgraph"
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylinflight"
+	"berylspan/core/beryllifetime"
 	"berylspan/core/berylregistration"
 	"berylspan/core/berylserverstatus"
 	"berylspan/io/berylconnpool"
@@ -44,18 +45,12 @@
 	loadReportedAt time.Time // when abandoned was determined
 	startPending   bool      // a timer will start waiting requests
 	shuttingDown   bool
-	lifetime       lifetime                 // run of the server that status belongs to
-	answered       bool                     // whether that run of the server has answered this daemon
+	lifetime       beryllifetime.Lifetime   // of the server that status belongs to
+	answered       bool                     // whether the server has answered this daemon in that lifetime
 	status         berylserverstatus.Status // what the server last said about itself
 	malformedLimit string                   // last limit that could not be read
 }
 
-// lifetime identifies a run of the backend server.
-type lifetime struct {
-	id     string
-	bornMs int64
-}
-
 // waiter is a request that waits for a slot.
 type waiter struct {
 	ready   chan struct{} // closed when a slot is granted or expired is set
@@ -189,7 +184,7 @@
 		reply.ActualServerID = entry.ID
 		return reply
 	}
-	if r.status.Leaving && r.lifetime == (lifetime{req.ServerID, req.ServerStartMs}) {
+	if r.status.Leaving && r.lifetime == req.Lifetime() {
 		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonServerLeaving)
 	}
 	if known && entry.Slots > 0 && entry.Slots != r.slots {
@@ -327,9 +322,9 @@
 	return reply
 }
 
-// recordStart records that a request starts. It returns the pool to send it with and the run
-// of the backend server that it is sent to.
-func (r *Runner) recordStart(now time.Time, req *berylrequest.Request) (*berylconnpool.Pool, lifetime) {
+// recordStart records that a request starts. It returns the pool to send it with and the
+// lifetime of the backend server that it is sent to.
+func (r *Runner) recordStart(now time.Time, req *berylrequest.Request) (*berylconnpool.Pool, beryllifetime.Lifetime) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.callGraph.RequestStarted(now, req.Rule)
--- a/io/berylrunner/status.go
+++ b/io/berylrunner/status.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"berylspan/core/beryllifetime"
 	"berylspan/core/berylregistration"
 	"berylspan/core/berylserverstatus"
 	"berylspan/io/berylrequest"
@@ -15,22 +16,22 @@
 	return func(r *Runner) { r.onServerStatus = f }
 }
 
-// newestLifetime returns the newest run of the backend server that its list entry, if known,
-// or a request tells of. The caller holds the lock.
-func (r *Runner) newestLifetime(entry berylregistration.Registration, known bool, req *berylrequest.Request) lifetime {
-	listed := lifetime{entry.ID, entry.Born}
+// newestLifetime returns the newest lifetime of the backend server that its list entry, if
+// known, or a request tells of. The caller holds the lock.
+func (r *Runner) newestLifetime(entry berylregistration.Registration, known bool, req *berylrequest.Request) beryllifetime.Lifetime {
+	listed := entry.Lifetime()
 	if !known {
 		listed = r.lifetime
 	}
-	if listed.id == "" || req.ServerStartMs > listed.bornMs {
-		return lifetime{req.ServerID, req.ServerStartMs}
+	if listed.ID == "" || req.ServerStartMs > listed.BornMs {
+		return req.Lifetime()
 	}
 	return listed
 }
 
-// trackLifetime forgets what an earlier run of the backend server said about itself. The
+// trackLifetime forgets what the backend server said about itself in an earlier lifetime. The
 // caller holds the lock.
-func (r *Runner) trackLifetime(current lifetime) {
+func (r *Runner) trackLifetime(current beryllifetime.Lifetime) {
 	if r.lifetime == current {
 		return
 	}
@@ -47,7 +48,7 @@
 	}
 	r.mu.Lock()
 	known := r.status
-	if !r.answered && !known.Limited && r.lifetime == (lifetime{req.ServerID, req.ServerStartMs}) {
+	if !r.answered && !known.Limited && r.lifetime == req.Lifetime() {
 		r.status.Limited, r.status.Limit = true, req.ServerLimit
 		r.applyStatus()
 	}
@@ -58,9 +59,9 @@
 	}
 }
 
-// recordHeader evaluates what the header of an answer says about the run of the backend
-// server that the request was sent to. A late answer of an earlier run says nothing.
-func (r *Runner) recordHeader(sentTo lifetime, h http.Header) {
+// recordHeader evaluates what the header of an answer says about the backend server. It does
+// nothing if the request was sent to the server in an earlier lifetime.
+func (r *Runner) recordHeader(sentTo beryllifetime.Lifetime, h http.Header) {
 	r.mu.Lock()
 	if sentTo != r.lifetime {
 		r.mu.Unlock()
@@ -72,7 +73,7 @@
 	status := r.status
 	r.mu.Unlock()
 	if err != nil || status != known {
-		r.onServerStatus(sentTo.id, status, err)
+		r.onServerStatus(sentTo.ID, status, err)
 	}
 }
 
