Make up for starts that a named limit left unused

Cause: the pacer kept starts of the last 100 ms only. Requests come at random times, and few wait where the limit is low, as placement sends no more than run at that rate. At 18 a second 100 ms are 1.8 starts: a gap of a few tenths of a second is lost for good.

Change: starts of the last 300 ms are made up for. In any 4 s that is at most 1.075 of the limit and one request, where the platform's rule allows 1.5 and five.

--- a/core/berylpacer/pacer.go
+++ b/core/berylpacer/pacer.go
@@ -18,7 +18,7 @@
 }
 
 const (
-	burstTime    = 100 * time.Millisecond // requests of this time may start at once, besides one
+	burstTime    = 300 * time.Millisecond // starts that were not used in this time may be made up for
 	minPerSecond = 0.5                    // without any request, no answer would tell that the limit has ended
 	tokenEpsilon = 1e-6                   // tolerance for rounding when a wait has ended
 )
