Report requests that a stop leaves without an answer

Nothing told which requests a stop left without an answer, nor why: the lines "leaving" and "stopped" give counts, and a request that is cut has no line on the instance that cut it.

Change: the HTTP server keeps its pending requests in order, with the id from the header (a function field, as it knows no header names of the platform) and with what each waits for: its own body, its turn, its handler, an earlier answer, or the caller. Those that end without a complete answer during a stop or at Close are reported: log line "request unanswered" (warn) and metric berylspan_unanswered_total{rule,wait}. Close cancels the requests of its connections itself, so that the sidecar can close it before it ends the context of everything, which would change what the requests wait for.

No decision about an answer changes. The fuzz test follows a signature.

--- a/io/berylhttpserver/body.go
+++ b/io/berylhttpserver/body.go
@@ -65,23 +65,23 @@
 
 // readBody reads up to maxBufferedBody bytes of the body into r. If the body is longer, it
 // sets r.Stream to the rest and returns that, to be read while the request runs. It
-// returns false if the body could not be read.
-func (c *conn) readBody(httpReq *http.Request, r *Request, limits Limits) (*bodyStream, bool) {
+// returns an error if the body could not be read.
+func (c *conn) readBody(httpReq *http.Request, r *Request, limits Limits) (*bodyStream, error) {
 	if httpReq.ContentLength == 0 {
-		return nil, true
+		return nil, nil
 	}
 	c.setReadTimeout(transferTimeout)
 	bounded := &maxBytesReader{r: httpReq.Body, remaining: limits.MaxBodyBytes}
 	first, err := io.ReadAll(io.LimitReader(bounded, maxBufferedBody))
 	if err != nil {
-		return nil, false
+		return nil, err
 	}
 	r.Body = first
 	if len(first) < maxBufferedBody || int64(len(first)) == httpReq.ContentLength {
 		r.Length = int64(len(first))
-		return nil, true
+		return nil, nil
 	}
 	stream := &bodyStream{r: bounded, done: make(chan struct{})}
 	r.Stream = stream
-	return stream, true
+	return stream, nil
 }
--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -33,25 +33,30 @@
 	br      *bufio.Reader
 	bw      *bufio.Writer // valid only while an answer is written
 
+	ctx    context.Context // of all requests
+	cancel context.CancelFunc
+
 	mu                sync.Mutex
-	pending           int  // number of requests that were read and whose answers are not yet written
-	keepAliveDisabled bool // close after the next answer that leaves no request pending
-	reading           bool // a request, from its first byte to the end of its body
+	pending           []*pendingRequest // in the order of the requests
+	keepAliveDisabled bool              // close after the next answer that leaves no request pending
+	reading           bool              // a request, from its first byte to the end of its body
 	readingStopped    bool
-	ended             bool // set by the last answer and by abort
+	ended             bool  // set by the last answer and by abort
+	err               error // why the connection ended without an answer
 	wg                sync.WaitGroup
 }
 
-func newConn(server *Server, nc net.Conn) *conn {
+func newConn(ctx context.Context, server *Server, nc net.Conn) *conn {
 	c := &conn{server: server, nc: nc, limiter: &beryllimitedreader.Reader{R: nc, Remaining: beryllimitedreader.Unlimited}}
 	c.br = bufio.NewReaderSize(c.limiter, readBufferSize)
+	c.ctx, c.cancel = context.WithCancel(ctx)
 	return c
 }
 
 func (c *conn) busy() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pending
+	return len(c.pending)
 }
 
 func (c *conn) disableKeepAlive() {
@@ -106,15 +111,14 @@
 func (c *conn) setIdleTimeout() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == 0 && !c.readingStopped && !c.ended {
+	if len(c.pending) == 0 && !c.readingStopped && !c.ended {
 		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout))
 	}
 }
 
 // serve reads and starts requests until the connection ends.
-func (c *conn) serve(parentCtx context.Context) {
-	ctx, cancel := context.WithCancel(parentCtx)
-	defer cancel()
+func (c *conn) serve() {
+	defer c.cancel()
 	prevWritten := make(chan struct{})
 	close(prevWritten)
 	for {
@@ -123,17 +127,19 @@
 			if c.isReadingStopped() {
 				<-prevWritten // The caller may still wait for its answers.
 			}
+			c.setErr(err)
 			break
 		}
 		limits := c.server.Limits()
-		written, ok := c.readRequest(ctx, limits, prevWritten)
+		written, ok := c.readRequest(limits, prevWritten)
 		c.endReading()
 		prevWritten = written
 		if !ok {
 			// Answers are still to be written. If the caller disconnects before the
 			// last one, the requests are cancelled.
 			if _, err := c.br.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !c.hasEnded() {
-				cancel()
+				c.setErr(err)
+				c.cancel()
 			}
 			<-prevWritten
 			break
@@ -142,7 +148,7 @@
 			break
 		}
 	}
-	cancel()
+	c.cancel()
 	c.wg.Wait()
 	_ = c.nc.Close() // It may be closed already.
 }
@@ -161,7 +167,7 @@
 // readRequest reads one request and starts it. prevWritten is closed when the answer to
 // the previous request is written, or will not be written. readRequest returns the same
 // kind of channel for its own request, and whether more requests may follow.
-func (c *conn) readRequest(ctx context.Context, limits Limits, prevWritten chan struct{}) (chan struct{}, bool) {
+func (c *conn) readRequest(limits Limits, prevWritten chan struct{}) (chan struct{}, bool) {
 	written := make(chan struct{})
 	c.setReadTimeout(limits.HeaderTimeout)
 	c.limiter.Remaining = limits.MaxHeaderBytes
@@ -172,22 +178,24 @@
 	c.limiter.Remaining = beryllimitedreader.Unlimited
 	if err != nil {
 		status := errorStatus(err)
-		c.addPending()
 		if status == 0 {
-			c.abort()
+			c.abort(err)
 			close(written)
 			return written, false
 		}
-		c.wg.Go(func() { c.reply(ctx, written, prevWritten, &Answer{Status: status, Close: true}, false) })
+		p := &pendingRequest{receivedAt: time.Now(), wait: WaitEarlierAnswer}
+		c.addPending(p)
+		c.wg.Go(func() { c.reply(p, written, prevWritten, &Answer{Status: status, Close: true}, false) })
 		return written, false
 	}
 	r := &Request{Method: httpReq.Method, URI: httpReq.RequestURI, Path: httpReq.URL.EscapedPath(), Host: httpReq.Host, Header: httpReq.Header, Length: httpReq.ContentLength, ReceivedAt: time.Now()}
 	r.CallerGone = func() bool { return berylsocket.Peek(c.nc) == berylsocket.Closed }
-	c.addPending()
+	p := &pendingRequest{id: c.server.requestID(r.Header), host: r.Host, path: r.Path, receivedAt: r.ReceivedAt, wait: WaitBody}
+	c.addPending(p)
 	closeAfter := httpReq.Close || !httpReq.ProtoAtLeast(1, 1)
 	if httpReq.ContentLength > limits.MaxBodyBytes {
 		c.wg.Go(func() {
-			c.reply(ctx, written, prevWritten, &Answer{Status: http.StatusRequestEntityTooLarge, Close: true}, false)
+			c.reply(p, written, prevWritten, &Answer{Status: http.StatusRequestEntityTooLarge, Close: true}, false)
 		})
 		return written, false
 	}
@@ -196,9 +204,9 @@
 		// If the connection is broken, reading the body fails.
 		_, _ = c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
-	stream, ok := c.readBody(httpReq, r, limits)
-	if !ok {
-		c.abort()
+	stream, err := c.readBody(httpReq, r, limits)
+	if err != nil {
+		c.abortRequest(p, err)
 		close(written)
 		return written, false
 	}
@@ -206,14 +214,19 @@
 		a := &Answer{Abort: true} // unless Handle returns
 		c.server.guard(panicPart, func() {
 			if c.server.MustRunInOrder(r) {
+				c.setWait(p, WaitTurn)
 				<-prevWritten
 				if c.hasEnded() {
 					return
 				}
 			}
-			a = c.server.Handle(ctx, r)
+			c.setWait(p, WaitHandler)
+			a = c.server.Handle(c.ctx, r)
 		})
-		c.reply(ctx, written, prevWritten, a, closeAfter)
+		if !a.Abort {
+			c.setWait(p, WaitEarlierAnswer)
+		}
+		c.reply(p, written, prevWritten, a, closeAfter)
 		if stream != nil {
 			stream.discardUnread()
 		}
@@ -255,12 +268,6 @@
 	return c.readingStopped
 }
 
-func (c *conn) addPending() {
-	c.mu.Lock()
-	c.pending++
-	c.mu.Unlock()
-}
-
 // hasEnded reports whether no further answers are written on the connection.
 func (c *conn) hasEnded() bool {
 	c.mu.Lock()
@@ -268,44 +275,52 @@
 	return c.ended
 }
 
-// abort closes the connection without answering the request.
-func (c *conn) abort() {
+// setErr records why the connection ends, unless that is known already.
+func (c *conn) setErr(err error) {
 	c.mu.Lock()
-	c.ended = true
-	c.pending--
-	c.mu.Unlock()
-	_ = c.nc.Close() // It may be closed already.
+	defer c.mu.Unlock()
+	if c.err == nil {
+		c.err = err
+	}
 }
 
-// fail closes the connection after a panic.
-func (c *conn) fail() {
+// abort closes the connection without further answers.
+func (c *conn) abort(err error) {
+	c.setErr(err)
 	c.mu.Lock()
 	c.ended = true
 	c.mu.Unlock()
 	_ = c.nc.Close() // It may be closed already.
 }
 
+// abortRequest closes the connection without answering the request.
+func (c *conn) abortRequest(p *pendingRequest, err error) {
+	c.abort(err)
+	c.removeUnanswered(p)
+}
+
 // reply waits until prevWritten is closed and writes the answer. It closes written when
 // the answer is written or no further answer may be written.
-func (c *conn) reply(ctx context.Context, written, prevWritten chan struct{}, a *Answer, closeAfter bool) {
+func (c *conn) reply(p *pendingRequest, written, prevWritten chan struct{}, a *Answer, closeAfter bool) {
 	<-prevWritten
-	if !c.server.guard(panicPart, func() { c.writeOrAbort(ctx, a, closeAfter) }) {
-		c.fail() // before written is closed, which lets the next answer be written
+	if !c.server.guard(panicPart, func() { c.writeOrAbort(p, a, closeAfter) }) {
+		c.abortRequest(p, errPanic) // before written is closed, which lets the next answer be written
 	}
 	close(written)
 }
 
 // writeOrAbort writes the answer, or closes the connection if it can't be written whole.
-func (c *conn) writeOrAbort(ctx context.Context, a *Answer, closeAfter bool) {
+func (c *conn) writeOrAbort(p *pendingRequest, a *Answer, closeAfter bool) {
 	if a.Stream != nil {
 		defer func() { _ = a.Stream.Close() }() // It was read to its end, or the rest is not needed.
 	}
-	if a.Abort || c.hasEnded() || ctx.Err() != nil {
-		c.abort()
+	if a.Abort || c.hasEnded() || c.ctx.Err() != nil {
+		c.abortRequest(p, errAbort)
 		return
 	}
 	c.mu.Lock()
-	closeConn := closeAfter || a.Close || (c.keepAliveDisabled && c.pending == 1)
+	p.wait = WaitCaller
+	closeConn := closeAfter || a.Close || (c.keepAliveDisabled && len(c.pending) == 1)
 	if closeConn {
 		c.ended = true
 	}
@@ -315,12 +330,10 @@
 	err := c.write(a, closeConn)
 	c.server.writers.Put(c.bw)
 	if err != nil {
-		c.abort()
+		c.abortRequest(p, err)
 		return
 	}
-	c.mu.Lock()
-	c.pending--
-	c.mu.Unlock()
+	c.removePending(p)
 	if closeConn {
 		c.linger()
 		return
--- a/io/berylhttpserver/fuzz_test.go
+++ b/io/berylhttpserver/fuzz_test.go
@@ -24,7 +24,7 @@
 		s := New(nil, func(context.Context, *Request) *Answer { return textAnswer("ok") }, func(r *Request) bool { return r.Method == "POST" }, testLimits)
 		caller, server := net.Pipe()
 		ended := make(chan struct{})
-		go func() { newConn(s, server).serve(context.Background()); close(ended) }()
+		go func() { newConn(context.Background(), s, server).serve(); close(ended) }()
 		go func() { _, _ = io.Copy(io.Discard, caller) }()
 		require.NoError(t, caller.SetWriteDeadline(time.Now().Add(5*time.Second)))
 		_, err := caller.Write(sent)
--- /dev/null
+++ b/io/berylhttpserver/pending.go
@@ -0,0 +1,70 @@
+package berylhttpserver
+
+import (
+	"slices"
+	"time"
+)
+
+// pendingRequest is a request that was read and whose answer is not yet written.
+type pendingRequest struct {
+	id, host, path string // empty if its header could not be read
+	receivedAt     time.Time
+	wait           Wait
+}
+
+func (p *pendingRequest) unanswered(err error) Unanswered {
+	return Unanswered{ID: p.id, Host: p.host, Path: p.path, Age: time.Since(p.receivedAt), Wait: p.wait, Err: err}
+}
+
+func (c *conn) addPending(p *pendingRequest) {
+	c.mu.Lock()
+	c.pending = append(c.pending, p)
+	c.mu.Unlock()
+}
+
+// removePending removes a request. It returns false if Close has removed and reported it.
+func (c *conn) removePending(p *pendingRequest) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := slices.Index(c.pending, p)
+	if i < 0 {
+		return false
+	}
+	c.pending = slices.Delete(c.pending, i, i+1)
+	return true
+}
+
+func (c *conn) setWait(p *pendingRequest, wait Wait) {
+	c.mu.Lock()
+	p.wait = wait
+	c.mu.Unlock()
+}
+
+// removeUnanswered removes a request that ends without an answer, and reports it while the
+// server stops.
+func (c *conn) removeUnanswered(p *pendingRequest) {
+	if !c.removePending(p) {
+		return
+	}
+	c.mu.Lock()
+	stopping, u := c.keepAliveDisabled, p.unanswered(c.err)
+	c.mu.Unlock()
+	if stopping {
+		c.server.onUnanswered(u)
+	}
+}
+
+// removeAllUnanswered removes and reports all requests before the server closes the
+// connection.
+func (c *conn) removeAllUnanswered() {
+	c.mu.Lock()
+	all := make([]Unanswered, len(c.pending))
+	for i, p := range c.pending {
+		all[i] = p.unanswered(errClosed)
+	}
+	c.pending = nil
+	c.mu.Unlock()
+	for _, u := range all {
+		c.server.onUnanswered(u)
+	}
+}
--- a/io/berylhttpserver/server.go
+++ b/io/berylhttpserver/server.go
@@ -12,6 +12,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -36,6 +37,8 @@
 	Limits         func() Limits
 
 	guard              func(part string, f func()) bool
+	requestID          func(h http.Header) string
+	onUnanswered       func(u Unanswered)
 	ln                 net.Listener
 	writers            sync.Pool
 	mu                 sync.Mutex
@@ -52,7 +55,11 @@
 
 // New returns a server for ln. Run must be called to start it.
 func New(ln net.Listener, handle func(context.Context, *Request) *Answer, mustRunInOrder func(*Request) bool, limits func() Limits, opts ...func(*Server)) *Server {
-	s := &Server{Handle: handle, MustRunInOrder: mustRunInOrder, Limits: limits, guard: berylpanic.Unguarded, ln: ln, conns: map[*conn]struct{}{}}
+	s := &Server{
+		Handle: handle, MustRunInOrder: mustRunInOrder, Limits: limits, guard: berylpanic.Unguarded,
+		requestID: func(http.Header) string { return "" }, onUnanswered: func(Unanswered) {},
+		ln: ln, conns: map[*conn]struct{}{},
+	}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -83,7 +90,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		c := newConn(s, nc)
+		c := newConn(ctx, s, nc)
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		keepAlivesDisabled := s.keepAlivesDisabled
@@ -92,8 +99,8 @@
 			c.disableKeepAlive()
 		}
 		s.wg.Go(func() {
-			if !s.guard(panicPart, func() { c.serve(ctx) }) {
-				c.fail()
+			if !s.guard(panicPart, c.serve) {
+				c.abort(errPanic)
 			}
 			s.mu.Lock()
 			delete(s.conns, c)
@@ -136,12 +143,14 @@
 	return len(s.conns)
 }
 
-// Close closes the listener and all connections, and waits until the connections are no
-// longer served.
+// Close closes the listener and all connections, cancels the requests that are not answered,
+// and waits until the connections are no longer served.
 func (s *Server) Close() {
 	_ = s.ln.Close() // Fails only if it is closed already.
 	s.mu.Lock()
 	for c := range s.conns {
+		c.removeAllUnanswered()
+		c.cancel()
 		_ = c.nc.Close() // It may be closed already.
 	}
 	s.mu.Unlock()
--- a/io/berylproxy/check.go
+++ b/io/berylproxy/check.go
@@ -66,6 +66,16 @@
 	return rule == nil || !rule.Idempotent
 }
 
+// RuleName returns the name of the rule in force for a host and path, or "" if there is none.
+func (p *Proxy) RuleName(host, path string) string {
+	if config := p.State().Config; config != nil {
+		if rule := config.Match(host, path); rule != nil {
+			return rule.Name
+		}
+	}
+	return ""
+}
+
 // check validates a request and prepares it for sending. It returns nil, or an answer
 // if the request is refused.
 func (p *Proxy) check(ctx context.Context, q *request) *berylhttpserver.Answer {
--- a/io/berylsidecar/meter.go
+++ b/io/berylsidecar/meter.go
@@ -19,6 +19,7 @@
 	works    *prometheus.CounterVec
 	waits    *prometheus.HistogramVec
 	panics   *prometheus.CounterVec
+	lost     *prometheus.CounterVec
 }
 
 const namespace = "berylspan"
@@ -45,7 +46,10 @@
 	m.panics = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "panics_total", Help: "Panics in the handling of one input, by part of the daemon.",
 	}, []string{"part"})
-	m.reg.MustRegister(m.requests, m.ends, m.works, m.waits, m.panics)
+	m.lost = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "unanswered_total", Help: "Callers' requests that ended without a complete answer during a stop, by rule and what they waited for.",
+	}, []string{"rule", "wait"})
+	m.reg.MustRegister(m.requests, m.ends, m.works, m.waits, m.panics, m.lost)
 	return m
 }
 
@@ -53,6 +57,8 @@
 
 func (m *meter) panicked(part string) { m.panics.WithLabelValues(part).Inc() }
 
+func (m *meter) unanswered(rule, wait string) { m.lost.WithLabelValues(rule, wait).Inc() }
+
 const noServerLimit = -1 // 0 is a limit
 
 // watchServer adds gauges of what the backend server beside says about itself.
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -156,7 +156,8 @@
 	}
 	s.udp = udp
 	s.gossip = berylgossip.New(udp, port(set.Port), s.hear(run), s.hearQuota, berylgossip.Guard(s.guard.Run))
-	s.face = berylhttpserver.New(callers, s.enter.Serve, s.enter.MustRunInOrder, s.limits, berylhttpserver.Guard(s.guard.Run))
+	s.face = berylhttpserver.New(callers, s.enter.Serve, s.enter.MustRunInOrder, s.limits, berylhttpserver.Guard(s.guard.Run),
+		berylhttpserver.OnUnanswered(func(h http.Header) string { return h.Get(s.names.RequestID) }, s.unanswered))
 	s.loops.Go(func() { s.gossip.Run(run) })
 	s.loops.Go(func() { s.view.Run(run) })
 	s.loops.Go(func() { s.beat(run) })
@@ -270,8 +271,8 @@
 
 // Close ends everything at once.
 func (s *Sidecar) Close() {
+	s.face.Close() // Tells what each request waited for, so it comes before the requests are cancelled.
 	s.cancel()
-	s.face.Close()
 	s.work.Close()
 	for _, srv := range s.servers {
 		_ = srv.Close() // Nothing is left to be done about it.
@@ -292,6 +293,13 @@
 		Dur("waited", waited).Int("busy", out.Busy).Int("limit", out.Limit).Dur("hold", out.MeanServiceTime).Msg("work")
 }
 
+// unanswered logs a request of a caller that ended without a complete answer during a stop.
+func (s *Sidecar) unanswered(u berylhttpserver.Unanswered) {
+	rule := s.enter.RuleName(u.Host, u.Path)
+	s.meter.unanswered(rule, string(u.Wait))
+	s.log.Warn().Err(u.Err).Str("id", u.ID).Str("rule", rule).Dur("ms", u.Age).Str("wait", string(u.Wait)).Msg("request unanswered")
+}
+
 // serverStatus logs what the backend server beside says about itself.
 func (s *Sidecar) serverStatus(serverID string, status berylserverstatus.Status, err error) {
 	if err != nil {
