--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -33,25 +33,31 @@
 	br      *bufio.Reader
 	bw      *bufio.Writer // valid only while an answer is written
 
+	ctx    context.Context // of all requests
+	cancel context.CancelFunc
+
 	mu                sync.Mutex
-	pending           int  // number of requests that were read and whose answers are not yet written
-	keepAliveDisabled bool // close after the next answer that leaves no request pending
-	reading           bool // a request, from its first byte to the end of its body
+	pending           []*pendingRequest // in the order of the requests
+	keepAliveDisabled bool              // close after the next answer that leaves no request pending
+	reading           bool              // a request, from its first byte to the end of its body
 	readingStopped    bool
-	ended             bool // set by the last answer and by abort
+	answerDeadline    time.Time // no request is started any more and answers must be written by then; zero if not set
+	ended             bool      // set by the last answer and by abort
+	err               error     // why the connection ended without an answer
 	wg                sync.WaitGroup
 }
 
-func newConn(server *Server, nc net.Conn) *conn {
+func newConn(ctx context.Context, server *Server, nc net.Conn) *conn {
 	c := &conn{server: server, nc: nc, limiter: &beryllimitedreader.Reader{R: nc, Remaining: beryllimitedreader.Unlimited}}
 	c.br = bufio.NewReaderSize(c.limiter, readBufferSize)
+	c.ctx, c.cancel = context.WithCancel(ctx)
 	return c
 }
 
 func (c *conn) busy() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pending
+	return len(c.pending)
 }
 
 func (c *conn) disableKeepAlive() {
@@ -74,6 +80,29 @@
 	}
 }
 
+// endWork cancels the requests that are being handled and makes the others be refused, so
+// that all answers can be written until deadline.
+func (c *conn) endWork(deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isWorkEnded() {
+		return
+	}
+	c.answerDeadline = deadline
+	for _, p := range c.pending {
+		if p.cancel != nil {
+			p.cancel(ErrStopping)
+		}
+	}
+	if !c.ended {
+		c.unblockReader()
+	}
+	_ = c.nc.SetWriteDeadline(deadline) // Fails only if the connection is closed.
+}
+
+// isWorkEnded reports whether requests are no longer started. The caller holds the lock.
+func (c *conn) isWorkEnded() bool { return !c.answerDeadline.IsZero() }
+
 // unblockReader makes the current and all further reads fail.
 func (c *conn) unblockReader() {
 	_ = c.nc.SetReadDeadline(time.Now()) // Fails only if the connection is closed.
@@ -106,15 +135,14 @@
 func (c *conn) setIdleTimeout() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == 0 && !c.readingStopped && !c.ended {
+	if len(c.pending) == 0 && !c.readingStopped && !c.ended {
 		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout))
 	}
 }
 
 // serve reads and starts requests until the connection ends.
-func (c *conn) serve(parentCtx context.Context) {
-	ctx, cancel := context.WithCancel(parentCtx)
-	defer cancel()
+func (c *conn) serve() {
+	defer c.cancel()
 	prevWritten := make(chan struct{})
 	close(prevWritten)
 	for {
@@ -123,17 +151,19 @@
 			if c.isReadingStopped() {
 				<-prevWritten // The caller may still wait for its answers.
 			}
+			c.setErr(err)
 			break
 		}
 		limits := c.server.Limits()
-		written, ok := c.readRequest(ctx, limits, prevWritten)
+		written, ok := c.readRequest(limits, prevWritten)
 		c.endReading()
 		prevWritten = written
 		if !ok {
 			// Answers are still to be written. If the caller disconnects before the
 			// last one, the requests are cancelled.
 			if _, err := c.br.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !c.hasEnded() {
-				cancel()
+				c.setErr(err)
+				c.cancel()
 			}
 			<-prevWritten
 			break
@@ -142,7 +172,7 @@
 			break
 		}
 	}
-	cancel()
+	c.cancel()
 	c.wg.Wait()
 	_ = c.nc.Close() // It may be closed already.
 }
@@ -161,7 +191,7 @@
 // readRequest reads one request and starts it. prevWritten is closed when the answer to
 // the previous request is written, or will not be written. readRequest returns the same
 // kind of channel for its own request, and whether more requests may follow.
-func (c *conn) readRequest(ctx context.Context, limits Limits, prevWritten chan struct{}) (chan struct{}, bool) {
+func (c *conn) readRequest(limits Limits, prevWritten chan struct{}) (chan struct{}, bool) {
 	written := make(chan struct{})
 	c.setReadTimeout(limits.HeaderTimeout)
 	c.limiter.Remaining = limits.MaxHeaderBytes
@@ -172,48 +202,52 @@
 	c.limiter.Remaining = beryllimitedreader.Unlimited
 	if err != nil {
 		status := errorStatus(err)
-		c.addPending()
+		if c.mustRefuse() {
+			status = http.StatusServiceUnavailable
+		}
 		if status == 0 {
-			c.abort()
+			c.abort(err)
 			close(written)
 			return written, false
 		}
-		c.wg.Go(func() { c.reply(ctx, written, prevWritten, &Answer{Status: status, Close: true}, false) })
+		p := &pendingRequest{receivedAt: time.Now(), wait: WaitEarlierAnswer}
+		c.addPending(p)
+		c.wg.Go(func() { c.reply(p, written, prevWritten, &Answer{Status: status, Close: true}, false) })
 		return written, false
 	}
 	r := &Request{Method: httpReq.Method, URI: httpReq.RequestURI, Path: httpReq.URL.EscapedPath(), Host: httpReq.Host, Header: httpReq.Header, Length: httpReq.ContentLength, ReceivedAt: time.Now()}
 	r.CallerGone = func() bool { return berylsocket.Peek(c.nc) == berylsocket.Closed }
-	c.addPending()
+	p := &pendingRequest{id: c.server.requestID(r.Header), host: r.Host, path: r.Path, receivedAt: r.ReceivedAt, wait: WaitBody}
+	c.addPending(p)
 	closeAfter := httpReq.Close || !httpReq.ProtoAtLeast(1, 1)
 	if httpReq.ContentLength > limits.MaxBodyBytes {
 		c.wg.Go(func() {
-			c.reply(ctx, written, prevWritten, &Answer{Status: http.StatusRequestEntityTooLarge, Close: true}, false)
+			c.reply(p, written, prevWritten, &Answer{Status: http.StatusRequestEntityTooLarge, Close: true}, false)
 		})
 		return written, false
 	}
 	if httpReq.ContentLength != 0 && strings.EqualFold(httpReq.Header.Get("Expect"), "100-continue") {
 		<-prevWritten
-		// If the connection is broken, reading the body fails.
-		_, _ = c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		if !c.mustRefuse() {
+			// If the connection is broken, reading the body fails.
+			_, _ = c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		}
 	}
-	stream, ok := c.readBody(httpReq, r, limits)
-	if !ok {
-		c.abort()
+	stream, err := c.readBody(httpReq, r, limits)
+	if err != nil && c.mustRefuse() {
+		c.wg.Go(func() { c.reply(p, written, prevWritten, c.server.refuse(r), true) })
+		return written, false
+	}
+	if err != nil {
+		c.abortRequest(p, err)
 		close(written)
 		return written, false
 	}
 	c.wg.Go(func() {
-		a := &Answer{Abort: true} // unless Handle returns
-		c.server.guard(panicPart, func() {
-			if c.server.MustRunInOrder(r) {
-				<-prevWritten
-				if c.hasEnded() {
-					return
-				}
-			}
-			a = c.server.Handle(ctx, r)
-		})
-		c.reply(ctx, written, prevWritten, a, closeAfter)
+		a := &Answer{Abort: true} // unless handle returns
+		c.server.guard(panicPart, func() { a = c.handle(p, r, prevWritten) })
+		defer c.endHandling(p, a)()
+		c.reply(p, written, prevWritten, a, closeAfter)
 		if stream != nil {
 			stream.discardUnread()
 		}
@@ -226,6 +260,22 @@
 	return written, !closeAfter
 }
 
+// handle returns the answer to a request. endHandling must be called afterwards.
+func (c *conn) handle(p *pendingRequest, r *Request, prevWritten chan struct{}) *Answer {
+	if c.server.MustRunInOrder(r) {
+		c.setWait(p, WaitTurn)
+		<-prevWritten
+		if c.hasEnded() {
+			return &Answer{Abort: true}
+		}
+	}
+	ctx, ok := c.beginHandling(p)
+	if !ok {
+		return c.server.refuse(r)
+	}
+	return c.server.Handle(ctx, r)
+}
+
 // errorStatus returns the status of the answer to a request that could not be read, or 0
 // if the connection is to be closed without an answer.
 func errorStatus(err error) int {
@@ -246,19 +296,35 @@
 
 // setReadTimeout sets the timeout for all further reads of the request together.
 func (c *conn) setReadTimeout(timeout time.Duration) {
-	_ = c.nc.SetReadDeadline(time.Now().Add(timeout)) // Fails only if the connection is closed.
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isWorkEnded() {
+		_ = c.nc.SetReadDeadline(time.Now().Add(timeout)) // Fails only if the connection is closed.
+	}
 }
 
-func (c *conn) isReadingStopped() bool {
+// setWriteTimeout sets the timeout for the next write of an answer.
+func (c *conn) setWriteTimeout() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.readingStopped
+	deadline := time.Now().Add(transferTimeout)
+	if c.isWorkEnded() && c.answerDeadline.Before(deadline) {
+		deadline = c.answerDeadline
+	}
+	_ = c.nc.SetWriteDeadline(deadline) // Fails only if the connection is closed.
 }
 
-func (c *conn) addPending() {
+// mustRefuse reports whether requests that have not been started must be refused.
+func (c *conn) mustRefuse() bool {
 	c.mu.Lock()
-	c.pending++
-	c.mu.Unlock()
+	defer c.mu.Unlock()
+	return c.isWorkEnded()
+}
+
+func (c *conn) isReadingStopped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readingStopped
 }
 
 // hasEnded reports whether no further answers are written on the connection.
@@ -268,59 +334,65 @@
 	return c.ended
 }
 
-// abort closes the connection without answering the request.
-func (c *conn) abort() {
+// setErr records why the connection ends, unless that is known already.
+func (c *conn) setErr(err error) {
 	c.mu.Lock()
-	c.ended = true
-	c.pending--
-	c.mu.Unlock()
-	_ = c.nc.Close() // It may be closed already.
+	defer c.mu.Unlock()
+	if c.err == nil {
+		c.err = err
+	}
 }
 
-// fail closes the connection after a panic.
-func (c *conn) fail() {
+// abort closes the connection without further answers.
+func (c *conn) abort(err error) {
+	c.setErr(err)
 	c.mu.Lock()
 	c.ended = true
 	c.mu.Unlock()
 	_ = c.nc.Close() // It may be closed already.
 }
 
+// abortRequest closes the connection without answering the request.
+func (c *conn) abortRequest(p *pendingRequest, err error) {
+	c.abort(err)
+	c.removeUnanswered(p)
+}
+
 // reply waits until prevWritten is closed and writes the answer. It closes written when
 // the answer is written or no further answer may be written.
-func (c *conn) reply(ctx context.Context, written, prevWritten chan struct{}, a *Answer, closeAfter bool) {
+func (c *conn) reply(p *pendingRequest, written, prevWritten chan struct{}, a *Answer, closeAfter bool) {
 	<-prevWritten
-	if !c.server.guard(panicPart, func() { c.writeOrAbort(ctx, a, closeAfter) }) {
-		c.fail() // before written is closed, which lets the next answer be written
+	if !c.server.guard(panicPart, func() { c.writeOrAbort(p, a, closeAfter) }) {
+		c.abortRequest(p, errPanic) // before written is closed, which lets the next answer be written
 	}
 	close(written)
 }
 
 // writeOrAbort writes the answer, or closes the connection if it can't be written whole.
-func (c *conn) writeOrAbort(ctx context.Context, a *Answer, closeAfter bool) {
+func (c *conn) writeOrAbort(p *pendingRequest, a *Answer, closeAfter bool) {
 	if a.Stream != nil {
 		defer func() { _ = a.Stream.Close() }() // It was read to its end, or the rest is not needed.
 	}
-	if a.Abort || c.hasEnded() || ctx.Err() != nil {
-		c.abort()
+	if a.Abort || c.hasEnded() || c.ctx.Err() != nil {
+		c.abortRequest(p, errAbort)
 		return
 	}
 	c.mu.Lock()
-	closeConn := closeAfter || a.Close || (c.keepAliveDisabled && c.pending == 1)
+	p.wait = WaitCaller
+	closeConn := closeAfter || a.Close || (c.keepAliveDisabled && len(c.pending) == 1)
 	if closeConn {
 		c.ended = true
 	}
 	c.mu.Unlock()
-	_ = c.nc.SetWriteDeadline(time.Now().Add(transferTimeout))
+	c.setWriteTimeout()
 	c.bw = c.server.writer(c.nc)
 	err := c.write(a, closeConn)
 	c.server.writers.Put(c.bw)
 	if err != nil {
-		c.abort()
+		c.abortRequest(p, err)
 		return
 	}
-	c.mu.Lock()
-	c.pending--
-	c.mu.Unlock()
+	c.removePending(p)
 	if closeConn {
 		c.linger()
 		return
--- a/io/berylproxy/check.go
+++ b/io/berylproxy/check.go
@@ -14,6 +14,7 @@
 	"berylspan/core/berylsplitter"
 	"berylspan/core/beryltimelimit"
 	"berylspan/io/berylhttpserver"
+	"berylspan/io/berylreply"
 	"berylspan/io/berylrequest"
 
 	"github.com/cespare/xxhash/v2"
@@ -66,6 +67,16 @@
 	return rule == nil || !rule.Idempotent
 }
 
+// RuleName returns the name of the rule in force for a host and path, or "" if there is none.
+func (p *Proxy) RuleName(host, path string) string {
+	if config := p.State().Config; config != nil {
+		if rule := config.Match(host, path); rule != nil {
+			return rule.Name
+		}
+	}
+	return ""
+}
+
 // check validates a request and prepares it for sending. It returns nil, or an answer
 // if the request is refused.
 func (p *Proxy) check(ctx context.Context, q *request) *berylhttpserver.Answer {
@@ -151,6 +162,9 @@
 	if account := q.account; account != nil && account.Rate > 0 {
 		var retryAfter time.Duration
 		if q.tokenTaken, retryAfter = p.Quotas.Take(ctx, account, maxTokenWait(time.Until(q.outgoing.TargetTime))); !q.tokenTaken {
+			if isStopping(ctx) {
+				return p.refuse(q, http.StatusServiceUnavailable, berylreply.ReasonShuttingDown, berylbackoff.MinDelay)
+			}
 			return p.refuse(q, http.StatusTooManyRequests, reasonOverRate, max(retryAfter, minQuotaRetryDelay))
 		}
 	}
