Bound the depth of documents

What callers saw: berylspan check, and a daemon that was given deeply nested settings or lists, took memory by the square of the depth, 4 GB for a document of 40 KB; where memory is limited the process ends. Lists from the platform pass encoding/json first, which stops at 10,000 levels: they took 160 MB at each daemon that read them.

Cause: the parser is recursive and builds the path of each value, for findings, from that of the value around it; all of these are kept while the innermost one is read. The paths of a document of n levels have 3 + 6 + ... + 3n bytes, and nothing bounded n.

Evidence: TestDeeplyNestedDocumentTakesMuchMemory allocated 110 to 160 MB for 10,000 levels, a trial 4,096 MB for 40,000.

A value deeper than 32 levels is now a finding, like any other syntax error; the lists have four levels.

--- a/core/beryljson/node.go
+++ b/core/beryljson/node.go
@@ -31,7 +31,7 @@
 	n := Node{file: file, findings: findings}
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.UseNumber()
-	v, err := n.readValue(dec, "")
+	v, err := n.readValue(dec, "", 0)
 	if err == nil {
 		err = expectEOF(dec)
 	}
@@ -44,6 +44,10 @@
 	return n
 }
 
+// maxDepth bounds the depth of a document in levels. The paths of all levels around a value are
+// kept while it is read.
+const maxDepth = 32
+
 func expectEOF(dec *json.Decoder) error {
 	_, err := dec.Token()
 	if errors.Is(err, io.EOF) {
@@ -52,7 +56,7 @@
 	return errors.New("text after the document")
 }
 
-func (n Node) readValue(dec *json.Decoder, path string) (any, error) {
+func (n Node) readValue(dec *json.Decoder, path string, depth int) (any, error) {
 	t, err := dec.Token()
 	if err != nil {
 		if errors.Is(err, io.EOF) {
@@ -60,16 +64,19 @@
 		}
 		return nil, err
 	}
+	if _, nested := t.(json.Delim); nested && depth == maxDepth {
+		return nil, fmt.Errorf("nested deeper than %d levels", maxDepth)
+	}
 	switch t {
 	case json.Delim('{'):
-		return n.readObject(dec, path)
+		return n.readObject(dec, path, depth+1)
 	case json.Delim('['):
-		return n.readArray(dec, path)
+		return n.readArray(dec, path, depth+1)
 	}
 	return t, nil
 }
 
-func (n Node) readObject(dec *json.Decoder, path string) (any, error) {
+func (n Node) readObject(dec *json.Decoder, path string, depth int) (any, error) {
 	m := map[string]any{}
 	for dec.More() {
 		t, err := dec.Token()
@@ -78,7 +85,7 @@
 		}
 		name, _ := t.(string)
 		memberPath := joinPath(path, name)
-		v, err := n.readValue(dec, memberPath)
+		v, err := n.readValue(dec, memberPath, depth)
 		if err != nil {
 			return nil, err
 		}
@@ -91,10 +98,10 @@
 	return m, err
 }
 
-func (n Node) readArray(dec *json.Decoder, path string) (any, error) {
+func (n Node) readArray(dec *json.Decoder, path string, depth int) (any, error) {
 	list := []any{}
 	for dec.More() {
-		v, err := n.readValue(dec, fmt.Sprintf("%s[%d]", path, len(list)))
+		v, err := n.readValue(dec, fmt.Sprintf("%s[%d]", path, len(list)), depth)
 		if err != nil {
 			return nil, err
 		}
