Show that a request behind the last answer of its connection is passed on

Output on this code, 5 of 5:

--- FAIL: TestRequestBehindLastAnswerIsPassedOn (0.10s) --- FAIL: TestRequestBehindLastAnswerIsPassedOn/stop (0.05s) Error: Should be false Messages: the request was passed on, its connection had ended --- FAIL: TestRequestBehindLastAnswerIsPassedOn/answer_that_closes (0.05s) Error: Should be false Messages: the request was passed on, its connection had ended

--- a/io/berylhttpserver/drain_test.go
+++ b/io/berylhttpserver/drain_test.go
@@ -142,3 +142,39 @@
 	require.Subset(t, []string{"1 h/long: caller", "2 h/ready: earlier answer", "2 h/ready: caller"}, reported.all())
 	require.Len(t, reported.all(), 2)
 }
+
+// A request that arrived after the last answer of its connection was passed on and never
+// answered.
+func TestRequestBehindLastAnswerIsPassedOn(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first string
+		stop  func(s *Server)
+	}{
+		{"stop", "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", (*Server).DisableKeepAlives},
+		{"answer that closes", "GET /close HTTP/1.1\r\nHost: h\r\n\r\n", func(*Server) {}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var handled sync.Map
+			s, _, dial := startReportingServer(t, func(_ context.Context, r *Request) *Answer {
+				handled.Store(r.Path, true)
+				a := textAnswer("ok")
+				a.Close = r.Path == "/close"
+				return a
+			})
+			nc := dial()
+			c.stop(s)
+			_, err := io.WriteString(nc, c.first)
+			require.NoError(t, err)
+			require.Equal(t, []string{"200 ok"}, readAnswers(t, nc, 1))
+			_, err = io.WriteString(nc, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+			require.NoError(t, err)
+			rest, err := io.ReadAll(nc)
+			require.NoError(t, err)
+			require.Empty(t, rest)
+			time.Sleep(50 * time.Millisecond)
+			_, ok := handled.Load("/2")
+			require.False(t, ok, "the request was passed on, its connection had ended")
+		})
+	}
+}
