Start no request behind the last answer of its connection

What callers saw: a request sent on a kept connection, to which the answer before had just been sent with "Connection: close", was passed on to a server, ran, and got no answer. It occurs beside every planned stop, as its first 2.5 s end each connection so.

Cause: after the last answer, the connection's reading side stays open for 500 ms, so that unread bytes don't reset the connection. The reader that did this was the one that starts requests. Only requests that must run in order looked whether the connection had ended; all others were passed on.

Change: the reader asks, under the lock with which the last answer is decided, whether a request may be read, and a request is started under the same lock (beginHandling). What arrives behind the last answer is read and discarded. That also holds in a drain, where the reader had ended before and the connection was closed at once, with a reset if bytes were unread. The last answer, and an abort, cancel what still runs behind them; a request that ends behind the last answer no longer closes the connection under it.

Why this works: what is started has a connection on which no last answer was decided, and what comes later is never started.

--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -75,7 +75,7 @@
 		return
 	}
 	c.readingStopped = true
-	if !c.reading {
+	if !c.reading && !c.ended {
 		c.unblockReader()
 	}
 }
@@ -108,11 +108,12 @@
 	_ = c.nc.SetReadDeadline(time.Now()) // Fails only if the connection is closed.
 }
 
-// beginReading reports whether the next request may be read.
+// beginReading reports whether the next request may be read. Requests behind the last answer
+// count as not read.
 func (c *conn) beginReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = !c.readingStopped
+	c.reading = !c.readingStopped && !c.ended
 	return c.reading
 }
 
@@ -145,38 +146,44 @@
 	defer c.cancel()
 	prevWritten := make(chan struct{})
 	close(prevWritten)
-	for {
+	for ok := true; ok && c.waitForCapacity(); {
 		c.setIdleTimeout()
-		if _, err := c.br.Peek(1); err != nil || !c.beginReading() {
-			if c.isReadingStopped() {
-				<-prevWritten // The caller may still wait for its answers.
-			}
-			c.setErr(err)
+		if _, err := c.br.Peek(1); err != nil {
+			c.cancelIfDisconnected(err)
+			break
+		}
+		if !c.beginReading() {
 			break
 		}
 		limits := c.server.Limits()
-		written, ok := c.readRequest(limits, prevWritten)
+		prevWritten, ok = c.readRequest(limits, prevWritten)
 		c.endReading()
-		prevWritten = written
 		if !ok {
-			// Answers are still to be written. If the caller disconnects before the
-			// last one, the requests are cancelled.
-			if _, err := c.br.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !c.hasEnded() {
-				c.setErr(err)
-				c.cancel()
-			}
-			<-prevWritten
-			break
-		}
-		if !c.waitForCapacity() {
-			break
+			_, err := c.br.Peek(1)
+			c.cancelIfDisconnected(err)
 		}
 	}
+	<-prevWritten // The caller may still wait for its answers.
 	c.cancel()
 	c.wg.Wait()
+	if c.hasEnded() {
+		// Closing a connection with unread bytes resets it, and the caller could then lose the
+		// last answer. The time for this is set by linger.
+		_, _ = io.Copy(io.Discard, c.nc)
+	}
 	_ = c.nc.Close() // It may be closed already.
 }
 
+// cancelIfDisconnected cancels the requests if err of a read means that the caller has
+// disconnected while it waits for answers.
+func (c *conn) cancelIfDisconnected(err error) {
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) || c.hasEnded() {
+		return
+	}
+	c.setErr(err)
+	c.cancel()
+}
+
 // waitForCapacity waits until fewer than maxPipelined requests are pending. It returns
 // false if the connection has ended.
 func (c *conn) waitForCapacity() bool {
@@ -265,15 +272,15 @@
 	if c.server.MustRunInOrder(r) {
 		c.setWait(p, WaitTurn)
 		<-prevWritten
-		if c.hasEnded() {
-			return &Answer{Abort: true}
-		}
 	}
 	ctx, ok := c.beginHandling(p)
-	if !ok {
-		return c.server.refuse(r)
+	switch {
+	case ok:
+		return c.server.Handle(ctx, r)
+	case c.hasEnded():
+		return &Answer{Abort: true}
 	}
-	return c.server.Handle(ctx, r)
+	return c.server.refuse(r)
 }
 
 // errorStatus returns the status of the answer to a request that could not be read, or 0
@@ -298,7 +305,7 @@
 func (c *conn) setReadTimeout(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.isWorkEnded() {
+	if !c.isWorkEnded() && !c.ended {
 		_ = c.nc.SetReadDeadline(time.Now().Add(timeout)) // Fails only if the connection is closed.
 	}
 }
@@ -321,12 +328,6 @@
 	return c.isWorkEnded()
 }
 
-func (c *conn) isReadingStopped() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.readingStopped
-}
-
 // hasEnded reports whether no further answers are written on the connection.
 func (c *conn) hasEnded() bool {
 	c.mu.Lock()
@@ -343,13 +344,14 @@
 	}
 }
 
-// abort closes the connection without further answers.
+// abort closes the connection without further answers and cancels the other requests.
 func (c *conn) abort(err error) {
 	c.setErr(err)
 	c.mu.Lock()
 	c.ended = true
 	c.mu.Unlock()
 	_ = c.nc.Close() // It may be closed already.
+	c.cancel()
 }
 
 // abortRequest closes the connection without answering the request.
@@ -373,7 +375,11 @@
 	if a.Stream != nil {
 		defer func() { _ = a.Stream.Close() }() // It was read to its end, or the rest is not needed.
 	}
-	if a.Abort || c.hasEnded() || c.ctx.Err() != nil {
+	if c.hasEnded() {
+		c.removeUnanswered(p) // The last answer may still be on its way.
+		return
+	}
+	if a.Abort || c.ctx.Err() != nil {
 		c.abortRequest(p, errAbort)
 		return
 	}
@@ -395,14 +401,14 @@
 	c.removePending(p)
 	if closeConn {
 		c.linger()
+		c.cancel() // Nothing else on the connection can be answered.
 		return
 	}
 	c.setIdleTimeout()
 }
 
 // linger closes the writing side of the connection and lets the reading side stay open
-// for at most lingerTimeout. Closing a connection with unread bytes resets it, and the
-// caller could then lose the answer.
+// for at most lingerTimeout.
 func (c *conn) linger() {
 	if tc, ok := c.nc.(*net.TCPConn); ok {
 		_ = tc.CloseWrite() // The connection is closed later in any case.
--- a/io/berylhttpserver/drain_test.go
+++ b/io/berylhttpserver/drain_test.go
@@ -178,3 +178,29 @@
 		})
 	}
 }
+
+func TestLastAnswerCancelsRequestsThatRunBehindIt(t *testing.T) {
+	started, canceled := make(chan struct{}), make(chan struct{})
+	s, _, dial := startReportingServer(t, func(ctx context.Context, r *Request) *Answer {
+		if r.Path == "/2" {
+			close(started)
+			<-ctx.Done()
+			close(canceled)
+			return &Answer{Abort: true}
+		}
+		<-started
+		a := textAnswer("ok")
+		a.Close = true
+		return a
+	})
+	nc := dial()
+	_, err := io.WriteString(nc, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	require.Equal(t, []string{"200 ok"}, readAnswers(t, nc, 1))
+	select {
+	case <-canceled:
+	case <-time.After(time.Second):
+		t.Fatal("the request was not cancelled within 1 s after the last answer")
+	}
+	require.Eventually(t, func() bool { return s.Busy() == 0 }, time.Second, time.Millisecond)
+}
--- a/io/berylhttpserver/pending.go
+++ b/io/berylhttpserver/pending.go
@@ -41,7 +41,7 @@
 func (c *conn) beginHandling(p *pendingRequest) (context.Context, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isWorkEnded() {
+	if c.ended || c.isWorkEnded() {
 		return nil, false
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
