Show that the last answer cuts the request that arrives behind it

--- FAIL: TestArrivingRequestIsCutByLastAnswerBeforeIt (0.09s) --- FAIL: TestArrivingRequestIsCutByLastAnswerBeforeIt/header (0.04s) Error: Received unexpected error: unexpected EOF

The case "body" passes: a request whose header is complete is pending, and the answer before it isn't the last one.

--- a/io/berylhttpserver/drain_test.go
+++ b/io/berylhttpserver/drain_test.go
@@ -204,3 +204,37 @@
 	}
 	require.Eventually(t, func() bool { return s.Busy() == 0 }, time.Second, time.Millisecond)
 }
+
+// A request that had begun to arrive when the last one before it was answered got no answer.
+func TestArrivingRequestIsCutByLastAnswerBeforeIt(t *testing.T) {
+	for _, c := range []struct {
+		name, part, rest string
+	}{
+		{"header", "GET /2 HTTP/1.1\r\nHost", ": h\r\n\r\n"},
+		{"body", "PUT /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo", "dy"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			release := make(chan struct{})
+			s, reported, dial := startReportingServer(t, func(_ context.Context, r *Request) *Answer {
+				if r.Path == "/1" {
+					<-release
+				}
+				return textAnswer(r.Path)
+			})
+			nc := dial()
+			_, err := io.WriteString(nc, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"+c.part)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return s.Busy() > 0 }, time.Second, time.Millisecond)
+			time.Sleep(20 * time.Millisecond) // for the part of the second request
+			s.DisableKeepAlives()
+			close(release)
+			time.Sleep(20 * time.Millisecond) // for the first answer
+			_, err = io.WriteString(nc, c.rest)
+			require.NoError(t, err)
+			require.Equal(t, []string{"200 /1", "200 /2"}, readAnswers(t, nc, 2))
+			_, err = nc.Read(make([]byte, 1))
+			require.ErrorIs(t, err, io.EOF)
+			require.Empty(t, reported.all())
+		})
+	}
+}
