Keep a connection open for the request that is arriving on it

What callers saw: a request of which a part had arrived when the answer before it was sent, during a planned stop, got no answer: the connection ended under it.

Cause: the answer after which no request is pending ends the connection during a stop, and a request counted as pending only once its header was complete.

Change: an answer is not the last one while a header is arriving. The request that arrives gets the last answer, or 408 after the header timeout, or 503 when the time of the stop is over. The flag is set and cleared under the lock with which the last answer is decided.

--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -38,8 +38,9 @@
 
 	mu                sync.Mutex
 	pending           []*pendingRequest // in the order of the requests
-	keepAliveDisabled bool              // close after the next answer that leaves no request pending
+	keepAliveDisabled bool              // close after the next answer that leaves no request pending or arriving
 	reading           bool              // a request, from its first byte to the end of its body
+	arriving          bool              // a request, from its first byte to the end of its header
 	readingStopped    bool
 	answerDeadline    time.Time // no request is started any more and answers must be written by then; zero if not set
 	ended             bool      // set by the last answer and by abort
@@ -114,6 +115,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = !c.readingStopped && !c.ended
+	c.arriving = c.reading
 	return c.reading
 }
 
@@ -122,7 +124,7 @@
 func (c *conn) endReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
+	c.reading, c.arriving = false, false
 	switch {
 	case c.ended:
 	case c.readingStopped:
@@ -385,7 +387,7 @@
 	}
 	c.mu.Lock()
 	p.wait = WaitCaller
-	closeConn := closeAfter || a.Close || (c.keepAliveDisabled && len(c.pending) == 1)
+	closeConn := closeAfter || a.Close || (c.keepAliveDisabled && len(c.pending) == 1 && !c.arriving)
 	if closeConn {
 		c.ended = true
 	}
--- a/io/berylhttpserver/drain_test.go
+++ b/io/berylhttpserver/drain_test.go
@@ -53,6 +53,7 @@
 		{"body arriving behind a running one: refused, not started", slow + "PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\npart", 2, []string{"504 ", "503 refused /1"}},
 		{"waiting to ask for its body: refused, not started", slow + "PUT /1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 10\r\n\r\n", 2, []string{"504 ", "503 refused /1"}},
 		{"streamed body arriving: cancelled, its answer is written", "PUT /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" + strings.Repeat("a", 100000), 1, []string{"504 "}},
+		{"header arriving behind a running one: refused", slow + "GET /1 HTTP/1.1\r\nHost:", 1, []string{"504 ", "503 "}},
 		{"header arriving: refused", "GET /1 HTTP/1.1\r\nHost:", 0, []string{"503 "}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/io/berylhttpserver/pending.go
+++ b/io/berylhttpserver/pending.go
@@ -21,6 +21,7 @@
 func (c *conn) addPending(p *pendingRequest) {
 	c.mu.Lock()
 	c.pending = append(c.pending, p)
+	c.arriving = false
 	c.mu.Unlock()
 }
 
