--- a/io/berylhttpserver/drain_test.go
+++ b/io/berylhttpserver/drain_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -239,3 +240,64 @@
 		})
 	}
 }
+
+// gatedConn is a connection whose reader gets no processor time before or after it reads,
+// until gate is closed.
+type gatedConn struct {
+	*net.TCPConn
+	gate      chan struct{}
+	readFirst bool
+}
+
+func (c gatedConn) Read(p []byte) (int, error) {
+	if c.readFirst {
+		defer func() { <-c.gate }()
+	} else {
+		<-c.gate
+	}
+	return c.TCPConn.Read(p)
+}
+
+// A request that had arrived but was not yet looked at was cut when the time of its
+// connection was over.
+func TestArrivedRequestIsCutBeforeItIsLookedAt(t *testing.T) {
+	const idleTimeout = 100 * time.Millisecond
+	for _, c := range []struct {
+		name      string
+		end       func(s *Server)
+		readFirst bool
+	}{
+		{"idle timeout, bytes unread", func(*Server) { time.Sleep(2 * idleTimeout) }, false},
+		{"idle timeout, bytes read", func(*Server) { time.Sleep(2 * idleTimeout) }, true},
+		{"stop, bytes unread", func(s *Server) { go s.Drain(time.Second, answerTime) }, false},
+		{"stop, bytes read", func(s *Server) { go s.Drain(time.Second, answerTime) }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = tcp.Close() }()
+			ln := make(pipeListener)
+			s := New(ln, func(context.Context, *Request) *Answer { return textAnswer("ok") }, func(*Request) bool { return false }, func() Limits {
+				limits := testLimits()
+				limits.IdleTimeout = idleTimeout
+				return limits
+			})
+			go s.Run(context.Background())
+			defer func() { close(ln); s.Close() }()
+			client, err := net.Dial("tcp", tcp.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = client.Close() }()
+			accepted, err := tcp.Accept()
+			require.NoError(t, err)
+			gate := make(chan struct{})
+			ln <- gatedConn{TCPConn: accepted.(*net.TCPConn), gate: gate, readFirst: c.readFirst} //nolint:forcetypeassert // Of a TCP listener.
+			_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			require.NoError(t, err)
+			time.Sleep(20 * time.Millisecond)
+			c.end(s)
+			time.Sleep(30 * time.Millisecond)
+			close(gate)
+			require.Equal(t, []string{"200 ok"}, readAnswers(t, client, 1))
+		})
+	}
+}
