Read the request that has arrived before its connection is closed

What callers saw: beside a planned stop, and at the end of the idle timeout, a connection ended on which a whole request had arrived, with a reset or with its bytes read and dropped. An instance that is short of processor time may hold such a request for long before it closes, as the connection's reader runs only after the deadline that the stop has set.

Cause: a read fails when its deadline has passed, even if bytes are there; and a request whose first byte was read just before the stop was dropped by the check whether reading had been stopped.

Change: after a timeout the reader looks whether bytes have arrived, and reads the request then. After a stop each connection has at most one such request, or the one that is being read, so that a caller that always sends more can't hold the connection open.

--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -42,6 +42,7 @@
 	reading           bool              // a request, from its first byte to the end of its body
 	arriving          bool              // a request, from its first byte to the end of its header
 	readingStopped    bool
+	lastRead          bool      // no further request is read, even if one has arrived
 	answerDeadline    time.Time // no request is started any more and answers must be written by then; zero if not set
 	ended             bool      // set by the last answer and by abort
 	err               error     // why the connection ended without an answer
@@ -67,15 +68,15 @@
 	c.mu.Unlock()
 }
 
-// stopReading stops reading requests. A request that has begun to arrive is still read, and
-// all requests that were read are answered.
+// stopReading stops reading requests. One more is read if it has begun to arrive, and all
+// requests that were read are answered.
 func (c *conn) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.readingStopped {
 		return
 	}
-	c.readingStopped = true
+	c.readingStopped, c.lastRead = true, c.reading
 	if !c.reading && !c.ended {
 		c.unblockReader()
 	}
@@ -109,14 +110,26 @@
 	_ = c.nc.SetReadDeadline(time.Now()) // Fails only if the connection is closed.
 }
 
-// beginReading reports whether the next request may be read. Requests behind the last answer
-// count as not read.
+// beginReading reports whether the next request, of which the first byte has arrived, may be
+// read. Requests behind the last answer count as not read.
 func (c *conn) beginReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = !c.readingStopped && !c.ended
-	c.arriving = c.reading
-	return c.reading
+	if c.ended || c.lastRead {
+		return false
+	}
+	c.reading, c.arriving, c.lastRead = true, true, c.readingStopped
+	return true
+}
+
+// awaitRequest waits for the first byte of the next request. After a timeout it still returns
+// nil if the byte has arrived: this instance may not have had processor time to read it.
+func (c *conn) awaitRequest() error {
+	_, err := c.br.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && berylsocket.Peek(c.nc) == berylsocket.Readable {
+		return nil
+	}
+	return err
 }
 
 // endReading removes the timeout that applied to the request, unless the last answer has set
@@ -150,7 +163,7 @@
 	close(prevWritten)
 	for ok := true; ok && c.waitForCapacity(); {
 		c.setIdleTimeout()
-		if _, err := c.br.Peek(1); err != nil {
+		if err := c.awaitRequest(); err != nil {
 			c.cancelIfDisconnected(err)
 			break
 		}
