Show that a stop misses a connection that was just accepted

Output on this code, 5 of 5 (in the process of a daemon, its end follows):

--- FAIL: TestStopMissesConnectionThatWasJustAccepted (0.14s) --- FAIL: .../drain:_its_request_is_answered (0.07s) Error: Should be zero, but was 1 Messages: requests that are handled after the stop --- FAIL: .../close:_it_is_closed (0.07s) Error: Should be zero, but was 1 Messages: requests that are handled after the stop

--- a/io/berylhttpserver/drain_test.go
+++ b/io/berylhttpserver/drain_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -301,3 +303,59 @@
 		})
 	}
 }
+
+// gatedListener is a listener whose accept loop gets no processor time after a connection
+// was accepted, until gate is closed.
+type gatedListener struct {
+	net.Listener
+	accepted, gate chan struct{}
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err == nil {
+		close(l.accepted)
+		<-l.gate
+	}
+	return nc, err
+}
+
+// A stop was over before a connection that it had accepted was served.
+func TestStopMissesConnectionThatWasJustAccepted(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		stop func(s *Server)
+		want string
+	}{
+		{"drain: its request is answered", func(s *Server) { drainAndClose(s, 2*time.Second) }, "HTTP/1.1 200"},
+		{"close: it is closed", (*Server).Close, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			ln := gatedListener{Listener: tcp, accepted: make(chan struct{}), gate: make(chan struct{})}
+			var handling atomic.Int32
+			s := New(ln, func(context.Context, *Request) *Answer {
+				handling.Add(1)
+				defer handling.Add(-1)
+				time.Sleep(50 * time.Millisecond)
+				return textAnswer("ok")
+			}, func(*Request) bool { return false }, testLimits)
+			go s.Run(context.Background())
+			client, err := net.Dial("tcp", tcp.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = client.Close() }()
+			_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			require.NoError(t, err)
+			<-ln.accepted
+			time.AfterFunc(50*time.Millisecond, func() { close(ln.gate) })
+			c.stop(s)
+			time.Sleep(70 * time.Millisecond)
+			require.Zero(t, handling.Load(), "requests that are handled after the stop")
+			require.NoError(t, client.SetReadDeadline(time.Now().Add(time.Second)))
+			answer, err := io.ReadAll(client)
+			require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+			require.True(t, strings.HasPrefix(string(answer), c.want), "got %q", answer)
+		})
+	}
+}
