Serve connections in a stop that were accepted just before it

What callers saw: a connection that the instance had accepted when its stop closed the listener could end with the process, its request passed on or not. It takes a connection between Accept and its entry in the list; an instance that gets processor time in slices can be stopped there.

Cause: Drain and Close looked only at the list of connections. The accept loop could add one after they had returned, and Close never closed it.

Change: Drain waits for the accept loop too. After Close, the accept loop closes what it still gets. Connections are entered and the server is closed under the same lock.

--- a/io/berylhttpserver/server.go
+++ b/io/berylhttpserver/server.go
@@ -44,6 +44,8 @@
 	writers            sync.Pool
 	mu                 sync.Mutex
 	conns              map[*conn]struct{}
+	accepting          bool // Run has not returned
+	closed             bool // new connections are closed
 	keepAlivesDisabled bool // also applies to new connections
 	wg                 sync.WaitGroup
 }
@@ -82,6 +84,8 @@
 
 // Run accepts connections until the listener is closed.
 func (s *Server) Run(ctx context.Context) {
+	s.setAccepting(true)
+	defer s.setAccepting(false)
 	for {
 		nc, err := s.ln.Accept()
 		if err != nil {
@@ -92,24 +96,42 @@
 			continue
 		}
 		c := newConn(ctx, s, nc)
-		s.mu.Lock()
-		s.conns[c] = struct{}{}
-		keepAlivesDisabled := s.keepAlivesDisabled
-		s.mu.Unlock()
-		if keepAlivesDisabled {
-			c.disableKeepAlive()
+		if !s.start(c) {
+			c.cancel()
+			_ = nc.Close() // Nothing has been read from it.
+			return
 		}
-		s.wg.Go(func() {
-			if !s.guard(panicPart, c.serve) {
-				c.abort(errPanic)
-			}
-			s.mu.Lock()
-			delete(s.conns, c)
-			s.mu.Unlock()
-		})
 	}
 }
 
+func (s *Server) setAccepting(accepting bool) {
+	s.mu.Lock()
+	s.accepting = accepting
+	s.mu.Unlock()
+}
+
+// start serves a connection in a goroutine. It returns false if the server is closed.
+func (s *Server) start(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	if s.keepAlivesDisabled {
+		c.disableKeepAlive()
+	}
+	s.wg.Go(func() {
+		if !s.guard(panicPart, c.serve) {
+			c.abort(errPanic)
+		}
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	})
+	return true
+}
+
 // DisableKeepAlives makes the server close every connection after the next answer that
 // leaves it without a pending request.
 func (s *Server) DisableKeepAlives() {
@@ -147,10 +169,10 @@
 
 const drainPollInterval = 10 * time.Millisecond
 
-// pollConns calls f for each connection again and again until there are none, or until
-// deadline.
+// pollConns calls f for each connection again and again until there are none and no more can
+// come, or until deadline.
 func (s *Server) pollConns(deadline time.Time, f func(c *conn)) {
-	for ; time.Now().Before(deadline) && s.connCount() > 0; time.Sleep(drainPollInterval) {
+	for ; time.Now().Before(deadline) && !s.isDrained(); time.Sleep(drainPollInterval) {
 		s.mu.Lock()
 		for c := range s.conns {
 			f(c)
@@ -159,10 +181,10 @@
 	}
 }
 
-func (s *Server) connCount() int {
+func (s *Server) isDrained() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns)
+	return len(s.conns) == 0 && !s.accepting
 }
 
 // Close closes the listener and all connections, cancels the requests that are not answered,
@@ -170,6 +192,7 @@
 func (s *Server) Close() {
 	_ = s.ln.Close() // Fails only if it is closed already.
 	s.mu.Lock()
+	s.closed = true
 	for c := range s.conns {
 		c.removeAllUnanswered()
 		c.cancel()
