--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -38,9 +38,11 @@
 
 	mu                sync.Mutex
 	pending           []*pendingRequest // in the order of the requests
-	keepAliveDisabled bool              // close after the next answer that leaves no request pending
+	keepAliveDisabled bool              // close after the next answer that leaves no request pending or arriving
 	reading           bool              // a request, from its first byte to the end of its body
+	arriving          bool              // a request, from its first byte to the end of its header
 	readingStopped    bool
+	lastRead          bool      // no further request is read, even if one has arrived
 	answerDeadline    time.Time // no request is started any more and answers must be written by then; zero if not set
 	ended             bool      // set by the last answer and by abort
 	err               error     // why the connection ended without an answer
@@ -66,16 +68,16 @@
 	c.mu.Unlock()
 }
 
-// stopReading stops reading requests. A request that has begun to arrive is still read, and
-// all requests that were read are answered.
+// stopReading stops reading requests. One more is read if it has begun to arrive, and all
+// requests that were read are answered.
 func (c *conn) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.readingStopped {
 		return
 	}
-	c.readingStopped = true
-	if !c.reading {
+	c.readingStopped, c.lastRead = true, c.reading
+	if !c.reading && !c.ended {
 		c.unblockReader()
 	}
 }
@@ -108,12 +110,26 @@
 	_ = c.nc.SetReadDeadline(time.Now()) // Fails only if the connection is closed.
 }
 
-// beginReading reports whether the next request may be read.
+// beginReading reports whether the next request, of which the first byte has arrived, may be
+// read. Requests behind the last answer count as not read.
 func (c *conn) beginReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = !c.readingStopped
-	return c.reading
+	if c.ended || c.lastRead {
+		return false
+	}
+	c.reading, c.arriving, c.lastRead = true, true, c.readingStopped
+	return true
+}
+
+// awaitRequest waits for the first byte of the next request. After a timeout it still returns
+// nil if the byte has arrived: this instance may not have had processor time to read it.
+func (c *conn) awaitRequest() error {
+	_, err := c.br.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && berylsocket.Peek(c.nc) == berylsocket.Readable {
+		return nil
+	}
+	return err
 }
 
 // endReading removes the timeout that applied to the request, unless the last answer has set
@@ -121,7 +137,7 @@
 func (c *conn) endReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
+	c.reading, c.arriving = false, false
 	switch {
 	case c.ended:
 	case c.readingStopped:
@@ -145,38 +161,44 @@
 	defer c.cancel()
 	prevWritten := make(chan struct{})
 	close(prevWritten)
-	for {
+	for ok := true; ok && c.waitForCapacity(); {
 		c.setIdleTimeout()
-		if _, err := c.br.Peek(1); err != nil || !c.beginReading() {
-			if c.isReadingStopped() {
-				<-prevWritten // The caller may still wait for its answers.
-			}
-			c.setErr(err)
+		if err := c.awaitRequest(); err != nil {
+			c.cancelIfDisconnected(err)
+			break
+		}
+		if !c.beginReading() {
 			break
 		}
 		limits := c.server.Limits()
-		written, ok := c.readRequest(limits, prevWritten)
+		prevWritten, ok = c.readRequest(limits, prevWritten)
 		c.endReading()
-		prevWritten = written
 		if !ok {
-			// Answers are still to be written. If the caller disconnects before the
-			// last one, the requests are cancelled.
-			if _, err := c.br.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !c.hasEnded() {
-				c.setErr(err)
-				c.cancel()
-			}
-			<-prevWritten
-			break
-		}
-		if !c.waitForCapacity() {
-			break
+			_, err := c.br.Peek(1)
+			c.cancelIfDisconnected(err)
 		}
 	}
+	<-prevWritten // The caller may still wait for its answers.
 	c.cancel()
 	c.wg.Wait()
+	if c.hasEnded() {
+		// Closing a connection with unread bytes resets it, and the caller could then lose the
+		// last answer. The time for this is set by linger.
+		_, _ = io.Copy(io.Discard, c.nc)
+	}
 	_ = c.nc.Close() // It may be closed already.
 }
 
+// cancelIfDisconnected cancels the requests if err of a read means that the caller has
+// disconnected while it waits for answers.
+func (c *conn) cancelIfDisconnected(err error) {
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) || c.hasEnded() {
+		return
+	}
+	c.setErr(err)
+	c.cancel()
+}
+
 // waitForCapacity waits until fewer than maxPipelined requests are pending. It returns
 // false if the connection has ended.
 func (c *conn) waitForCapacity() bool {
@@ -265,15 +287,15 @@
 	if c.server.MustRunInOrder(r) {
 		c.setWait(p, WaitTurn)
 		<-prevWritten
-		if c.hasEnded() {
-			return &Answer{Abort: true}
-		}
 	}
 	ctx, ok := c.beginHandling(p)
-	if !ok {
-		return c.server.refuse(r)
+	switch {
+	case ok:
+		return c.server.Handle(ctx, r)
+	case c.hasEnded():
+		return &Answer{Abort: true}
 	}
-	return c.server.Handle(ctx, r)
+	return c.server.refuse(r)
 }
 
 // errorStatus returns the status of the answer to a request that could not be read, or 0
@@ -298,7 +320,7 @@
 func (c *conn) setReadTimeout(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.isWorkEnded() {
+	if !c.isWorkEnded() && !c.ended {
 		_ = c.nc.SetReadDeadline(time.Now().Add(timeout)) // Fails only if the connection is closed.
 	}
 }
@@ -321,12 +343,6 @@
 	return c.isWorkEnded()
 }
 
-func (c *conn) isReadingStopped() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.readingStopped
-}
-
 // hasEnded reports whether no further answers are written on the connection.
 func (c *conn) hasEnded() bool {
 	c.mu.Lock()
@@ -343,13 +359,14 @@
 	}
 }
 
-// abort closes the connection without further answers.
+// abort closes the connection without further answers and cancels the other requests.
 func (c *conn) abort(err error) {
 	c.setErr(err)
 	c.mu.Lock()
 	c.ended = true
 	c.mu.Unlock()
 	_ = c.nc.Close() // It may be closed already.
+	c.cancel()
 }
 
 // abortRequest closes the connection without answering the request.
@@ -373,13 +390,17 @@
 	if a.Stream != nil {
 		defer func() { _ = a.Stream.Close() }() // It was read to its end, or the rest is not needed.
 	}
-	if a.Abort || c.hasEnded() || c.ctx.Err() != nil {
+	if c.hasEnded() {
+		c.removeUnanswered(p) // The last answer may still be on its way.
+		return
+	}
+	if a.Abort || c.ctx.Err() != nil {
 		c.abortRequest(p, errAbort)
 		return
 	}
 	c.mu.Lock()
 	p.wait = WaitCaller
-	closeConn := closeAfter || a.Close || (c.keepAliveDisabled && len(c.pending) == 1)
+	closeConn := closeAfter || a.Close || (c.keepAliveDisabled && len(c.pending) == 1 && !c.arriving)
 	if closeConn {
 		c.ended = true
 	}
@@ -395,14 +416,14 @@
 	c.removePending(p)
 	if closeConn {
 		c.linger()
+		c.cancel() // Nothing else on the connection can be answered.
 		return
 	}
 	c.setIdleTimeout()
 }
 
 // linger closes the writing side of the connection and lets the reading side stay open
-// for at most lingerTimeout. Closing a connection with unread bytes resets it, and the
-// caller could then lose the answer.
+// for at most lingerTimeout.
 func (c *conn) linger() {
 	if tc, ok := c.nc.(*net.TCPConn); ok {
 		_ = tc.CloseWrite() // The connection is closed later in any case.
--- a/io/berylhttpserver/drain_test.go
+++ b/io/berylhttpserver/drain_test.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,6 +56,7 @@
 		{"body arriving behind a running one: refused, not started", slow + "PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\npart", 2, []string{"504 ", "503 refused /1"}},
 		{"waiting to ask for its body: refused, not started", slow + "PUT /1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 10\r\n\r\n", 2, []string{"504 ", "503 refused /1"}},
 		{"streamed body arriving: cancelled, its answer is written", "PUT /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n" + strings.Repeat("a", 100000), 1, []string{"504 "}},
+		{"header arriving behind a running one: refused", slow + "GET /1 HTTP/1.1\r\nHost:", 1, []string{"504 ", "503 "}},
 		{"header arriving: refused", "GET /1 HTTP/1.1\r\nHost:", 0, []string{"503 "}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -142,3 +146,216 @@
 	require.Subset(t, []string{"1 h/long: caller", "2 h/ready: earlier answer", "2 h/ready: caller"}, reported.all())
 	require.Len(t, reported.all(), 2)
 }
+
+// A request that arrived after the last answer of its connection was passed on and never
+// answered.
+func TestRequestBehindLastAnswerIsPassedOn(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first string
+		stop  func(s *Server)
+	}{
+		{"stop", "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", (*Server).DisableKeepAlives},
+		{"answer that closes", "GET /close HTTP/1.1\r\nHost: h\r\n\r\n", func(*Server) {}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var handled sync.Map
+			s, _, dial := startReportingServer(t, func(_ context.Context, r *Request) *Answer {
+				handled.Store(r.Path, true)
+				a := textAnswer("ok")
+				a.Close = r.Path == "/close"
+				return a
+			})
+			nc := dial()
+			c.stop(s)
+			_, err := io.WriteString(nc, c.first)
+			require.NoError(t, err)
+			require.Equal(t, []string{"200 ok"}, readAnswers(t, nc, 1))
+			_, err = io.WriteString(nc, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+			require.NoError(t, err)
+			rest, err := io.ReadAll(nc)
+			require.NoError(t, err)
+			require.Empty(t, rest)
+			time.Sleep(50 * time.Millisecond)
+			_, ok := handled.Load("/2")
+			require.False(t, ok, "the request was passed on, its connection had ended")
+		})
+	}
+}
+
+func TestLastAnswerCancelsRequestsThatRunBehindIt(t *testing.T) {
+	started, canceled := make(chan struct{}), make(chan struct{})
+	s, _, dial := startReportingServer(t, func(ctx context.Context, r *Request) *Answer {
+		if r.Path == "/2" {
+			close(started)
+			<-ctx.Done()
+			close(canceled)
+			return &Answer{Abort: true}
+		}
+		<-started
+		a := textAnswer("ok")
+		a.Close = true
+		return a
+	})
+	nc := dial()
+	_, err := io.WriteString(nc, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	require.Equal(t, []string{"200 ok"}, readAnswers(t, nc, 1))
+	select {
+	case <-canceled:
+	case <-time.After(time.Second):
+		t.Fatal("the request was not cancelled within 1 s after the last answer")
+	}
+	require.Eventually(t, func() bool { return s.Busy() == 0 }, time.Second, time.Millisecond)
+}
+
+// A request that had begun to arrive when the last one before it was answered got no answer.
+func TestArrivingRequestIsCutByLastAnswerBeforeIt(t *testing.T) {
+	for _, c := range []struct {
+		name, part, rest string
+	}{
+		{"header", "GET /2 HTTP/1.1\r\nHost", ": h\r\n\r\n"},
+		{"body", "PUT /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo", "dy"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			release := make(chan struct{})
+			s, reported, dial := startReportingServer(t, func(_ context.Context, r *Request) *Answer {
+				if r.Path == "/1" {
+					<-release
+				}
+				return textAnswer(r.Path)
+			})
+			nc := dial()
+			_, err := io.WriteString(nc, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"+c.part)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return s.Busy() > 0 }, time.Second, time.Millisecond)
+			time.Sleep(20 * time.Millisecond) // for the part of the second request
+			s.DisableKeepAlives()
+			close(release)
+			time.Sleep(20 * time.Millisecond) // for the first answer
+			_, err = io.WriteString(nc, c.rest)
+			require.NoError(t, err)
+			require.Equal(t, []string{"200 /1", "200 /2"}, readAnswers(t, nc, 2))
+			_, err = nc.Read(make([]byte, 1))
+			require.ErrorIs(t, err, io.EOF)
+			require.Empty(t, reported.all())
+		})
+	}
+}
+
+// gatedConn is a connection whose reader gets no processor time before or after it reads,
+// until gate is closed.
+type gatedConn struct {
+	*net.TCPConn
+	gate      chan struct{}
+	readFirst bool
+}
+
+func (c gatedConn) Read(p []byte) (int, error) {
+	if c.readFirst {
+		defer func() { <-c.gate }()
+	} else {
+		<-c.gate
+	}
+	return c.TCPConn.Read(p)
+}
+
+// A request that had arrived but was not yet looked at was cut when the time of its
+// connection was over.
+func TestArrivedRequestIsCutBeforeItIsLookedAt(t *testing.T) {
+	const idleTimeout = 100 * time.Millisecond
+	for _, c := range []struct {
+		name      string
+		end       func(s *Server)
+		readFirst bool
+	}{
+		{"idle timeout, bytes unread", func(*Server) { time.Sleep(2 * idleTimeout) }, false},
+		{"idle timeout, bytes read", func(*Server) { time.Sleep(2 * idleTimeout) }, true},
+		{"stop, bytes unread", func(s *Server) { go s.Drain(time.Second, answerTime) }, false},
+		{"stop, bytes read", func(s *Server) { go s.Drain(time.Second, answerTime) }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = tcp.Close() }()
+			ln := make(pipeListener)
+			s := New(ln, func(context.Context, *Request) *Answer { return textAnswer("ok") }, func(*Request) bool { return false }, func() Limits {
+				limits := testLimits()
+				limits.IdleTimeout = idleTimeout
+				return limits
+			})
+			go s.Run(context.Background())
+			defer func() { close(ln); s.Close() }()
+			client, err := net.Dial("tcp", tcp.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = client.Close() }()
+			accepted, err := tcp.Accept()
+			require.NoError(t, err)
+			gate := make(chan struct{})
+			ln <- gatedConn{TCPConn: accepted.(*net.TCPConn), gate: gate, readFirst: c.readFirst} //nolint:forcetypeassert // Of a TCP listener.
+			_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			require.NoError(t, err)
+			time.Sleep(20 * time.Millisecond)
+			c.end(s)
+			time.Sleep(30 * time.Millisecond)
+			close(gate)
+			require.Equal(t, []string{"200 ok"}, readAnswers(t, client, 1))
+		})
+	}
+}
+
+// gatedListener is a listener whose accept loop gets no processor time after a connection
+// was accepted, until gate is closed.
+type gatedListener struct {
+	net.Listener
+	accepted, gate chan struct{}
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err == nil {
+		close(l.accepted)
+		<-l.gate
+	}
+	return nc, err
+}
+
+// A stop was over before a connection that it had accepted was served.
+func TestStopMissesConnectionThatWasJustAccepted(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		stop func(s *Server)
+		want string
+	}{
+		{"drain: its request is answered", func(s *Server) { drainAndClose(s, 2*time.Second) }, "HTTP/1.1 200"},
+		{"close: it is closed", (*Server).Close, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tcp, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			ln := gatedListener{Listener: tcp, accepted: make(chan struct{}), gate: make(chan struct{})}
+			var handling atomic.Int32
+			s := New(ln, func(context.Context, *Request) *Answer {
+				handling.Add(1)
+				defer handling.Add(-1)
+				time.Sleep(50 * time.Millisecond)
+				return textAnswer("ok")
+			}, func(*Request) bool { return false }, testLimits)
+			go s.Run(context.Background())
+			client, err := net.Dial("tcp", tcp.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = client.Close() }()
+			_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			require.NoError(t, err)
+			<-ln.accepted
+			time.AfterFunc(50*time.Millisecond, func() { close(ln.gate) })
+			c.stop(s)
+			time.Sleep(70 * time.Millisecond)
+			require.Zero(t, handling.Load(), "requests that are handled after the stop")
+			require.NoError(t, client.SetReadDeadline(time.Now().Add(time.Second)))
+			answer, err := io.ReadAll(client)
+			require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+			require.True(t, strings.HasPrefix(string(answer), c.want), "got %q", answer)
+		})
+	}
+}
--- a/io/berylhttpserver/pending.go
+++ b/io/berylhttpserver/pending.go
@@ -21,6 +21,7 @@
 func (c *conn) addPending(p *pendingRequest) {
 	c.mu.Lock()
 	c.pending = append(c.pending, p)
+	c.arriving = false
 	c.mu.Unlock()
 }
 
@@ -41,7 +42,7 @@
 func (c *conn) beginHandling(p *pendingRequest) (context.Context, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isWorkEnded() {
+	if c.ended || c.isWorkEnded() {
 		return nil, false
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
