Leave odd instances of the platform's list out, not the list

What callers saw (Connect mode): with one odd entry among the instances, daemons kept the list that they had. Calls went on to instances that had left, and never to new ones; a started daemon knew only what its seeds told it.

Cause: the list was decoded in one piece, so that one mistyped field was an error of the whole read, each time again. Entries without id or service, or with an address that cannot be connected to, were taken as instances.

Entries are now decoded one by one. Those that cannot be used are left out and logged. The two lists of the operators stay as they are: they are validated whole and the last good ones stay in force.

--- a/io/beryldaemon/daemon.go
+++ b/io/beryldaemon/daemon.go
@@ -173,7 +173,9 @@
 	toBackend, closeToBackend := d.backendClient()
 	d.idle = []func(){toPeers.CloseIdleConnections, toPlatform.CloseIdleConnections, closeToBackend}
 	clients := berylcontrolclients.New(toPeers, scheme, d.set.Secret)
-	platform := berylplatform.HTTP(d.set.Platform, toPlatform)
+	platform := berylplatform.HTTP(d.set.Platform, toPlatform, berylplatform.OnFinding(func(finding string) {
+		d.log.Warn().Str("finding", finding).Msg("published instance left out")
+	}))
 	d.control = berylcontrol.New(self, platform, clients, d.guard, d.log, berylcontrol.Seeds(d.set.Seeds))
 	d.owner = berylshardowner.New(self.ID, self.Zone, d.control.State, clients, berylshardowner.Guard(d.guard))
 	d.rates = berylrates.New(self.ID, self.Zone, d.control.State, clients)
