Trust no response without an id on a kept connection

What callers saw: a request that a server had run was answered "not run, try again" (503), or ran at a second server, when the first one had written an earlier refusal once more on the kept connection, without its id. An earlier error without an id was passed on as the answer.

Cause: an error response without an id counted as the answer to whatever request was sent last. That holds for the first response of a connection only. Before a request the pool looks for unread bytes, but a copy may come later.

Now a response without an id answers the request only if it is the first one of its connection, which is closed then, as its copy could not be told from an answer. On a connection that was used before it proves nothing. If the server's responses with that status are known to have ids, it is skipped and the answer is read, however long that takes. If not, the attempt ends at once as "may have run": 502 for a request that must not run twice, another attempt for others. Towards a server whose rejections come without ids, requests that must not run twice get a connection of their own, so that its rejections can be believed.

What the platform names as responses without an id is 400 to a request without one; such requests are never sent. Weighed and left: to take each one as "may have run" at once (breaks off requests that run, and 502 where the answer follows), and to read on in any case (a server that omits the id of its rejections would be waited for until the deadline).

--- a/io/berylconnpool/conn.go
+++ b/io/berylconnpool/conn.go
@@ -17,6 +17,7 @@
 	idleTimeout time.Duration // how long it may be idle before it is no longer used
 	idleSince   time.Time     // when it became idle
 	idleUntil   time.Time     // idleSince plus idleTimeout
+	used        bool          // whether a response has been read from it
 }
 
 const bufferSize = 4 << 10 // bytes
--- a/io/berylconnpool/fuzz_test.go
+++ b/io/berylconnpool/fuzz_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,3 +53,47 @@
 		require.NoError(t, ctx.Err(), "the attempt did not end with the connection")
 	})
 }
+
+// Whatever a backend server sends on a connection that was used before, only what has the id of
+// the request tells anything about the request.
+func FuzzResponseOnKeptConnection(f *testing.F) {
+	for _, seed := range []string{
+		"", okAnswer("1", "body"), errorAnswer(503, "", notRun), errorAnswer(421, "", ""), errorAnswer(500, "", ""), errorAnswer(503, "0", notRun) + okAnswer("1", "body"),
+		errorAnswer(503, "1", notRun), errorAnswer(503, "", notRun) + okAnswer("1", "body"), "HTTP/1.1 103 Early Hints\r\n\r\n" + errorAnswer(400, "", notRun),
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, response []byte) {
+		p := New("", berylheadernames.Default())
+		dials := 0
+		p.dial = func(context.Context, string) (net.Conn, error) {
+			dials++
+			client, server := net.Pipe()
+			go func() {
+				defer func() { _ = server.Close() }()
+				buf := make([]byte, 4<<10)
+				for _, b := range [][]byte{[]byte(errorAnswer(503, "0", notRun)), response} {
+					if _, err := server.Read(buf); err != nil {
+						return
+					}
+					_, _ = server.Write(b) // The pool may have closed the connection.
+				}
+			}()
+			return client, nil
+		}
+		require.Equal(t, berylattempt.Rejected, send(p, "0", false).Outcome)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		reply := p.Send(ctx, &Request{Method: "GET", URI: "/", Host: "h", ID: "1", Header: http.Header{}}, func() {})
+		require.Equal(t, 1, dials)
+		if reply.Outcome != berylattempt.Unknown {
+			require.Contains(t, strings.ToLower(string(response)), "beryl-call:")
+		}
+		if reply.Outcome == berylattempt.Answered {
+			require.Equal(t, "1", reply.Header.Get("Beryl-Call"))
+			_, _ = io.Copy(io.Discard, reply.Reader())
+		}
+		reply.Close()
+		require.NoError(t, ctx.Err(), "the attempt did not end with the connection")
+	})
+}
--- a/io/berylconnpool/pool.go
+++ b/io/berylconnpool/pool.go
@@ -25,9 +25,11 @@
 	dial  func(ctx context.Context, addr string) (net.Conn, error)
 	guard func(part string, f func()) bool
 
-	mu     sync.Mutex
-	idle   []*conn // the longest idle first
-	closed bool
+	mu               sync.Mutex
+	idle             []*conn // the longest idle first
+	closed           bool
+	errorHasID       map[int]bool // by status, whether the last error response that certainly answered a request had its id
+	rejectionOmitsID bool         // as above, whether the last rejection had none
 }
 
 const (
@@ -46,7 +48,7 @@
 // New returns a pool for the backend server at addr.
 func New(addr string, names berylheadernames.Names, opts ...func(*Pool)) *Pool {
 	d := &net.Dialer{Timeout: dialTimeout}
-	p := &Pool{addr: addr, names: names, guard: berylpanic.Unguarded, dial: func(ctx context.Context, addr string) (net.Conn, error) {
+	p := &Pool{addr: addr, names: names, guard: berylpanic.Unguarded, errorHasID: map[int]bool{}, dial: func(ctx context.Context, addr string) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", addr)
 	}}
 	for _, opt := range opts {
@@ -57,7 +59,8 @@
 
 // get returns an idle connection that appears to be open, or a new one. A request that
 // must not run twice only gets an idle connection that was in use a short time ago: if
-// the server has dropped the connection, it is unknown whether the request ran.
+// the server has dropped the connection, it is unknown whether the request ran. It gets none
+// if the server's rejections have no id: on a connection that was used they prove nothing.
 func (p *Pool) get(ctx context.Context, nonIdempotent bool) (*conn, error) {
 	now := time.Now()
 	for {
@@ -68,7 +71,7 @@
 			break
 		}
 		c := p.idle[n-1]
-		if nonIdempotent && now.Sub(c.idleSince) > nonIdempotentMaxIdle {
+		if nonIdempotent && (now.Sub(c.idleSince) > nonIdempotentMaxIdle || p.rejectionOmitsID) {
 			p.mu.Unlock()
 			break
 		}
@@ -86,6 +89,24 @@
 	return newConn(nc), nil
 }
 
+// recordErrorID records whether an error response that certainly answered a request had its id.
+func (p *Pool) recordErrorID(status int, rejection, hasID bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.errorHasID[status] = hasID
+	if rejection {
+		p.rejectionOmitsID = !hasID
+	}
+}
+
+// errorsHaveID reports whether the server's error responses with a status are known to have
+// ids.
+func (p *Pool) errorsHaveID(status int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.errorHasID[status]
+}
+
 // put keeps a connection for reuse. It closes connections that have been idle for too
 // long or exceed maxIdle.
 func (p *Pool) put(c *conn) {
--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -66,6 +66,7 @@
 	onDone      func()
 	bodyWritten chan error // result of writing a streamed body, nil without one
 	reuse       bool       // whether the connection can be reused after the answer
+	singleUse   bool       // the connection must not be reused, whatever the answer
 }
 
 func (e *exchange) run(ctx context.Context) *berylreply.Reply {
@@ -203,8 +204,7 @@
 )
 
 // readResponse returns the response to the request. It skips interim responses and
-// answers to other requests, which are late or duplicated. An error response without an
-// id counts as the answer.
+// answers to other requests, which are late or duplicated.
 func (e *exchange) readResponse() (*http.Response, error) {
 	req := &http.Request{Method: e.request.Method}
 	for range maxResponses {
@@ -220,8 +220,11 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		id := resp.Header.Get(e.pool.names.RequestID)
-		if id == e.request.ID || (id == "" && resp.StatusCode >= http.StatusBadRequest) {
+		answers, err := e.answersRequest(resp)
+		if err != nil {
+			return nil, err
+		}
+		if answers {
 			return resp, nil
 		}
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
@@ -238,6 +241,40 @@
 	return nil, errNoMatch
 }
 
+// answersRequest reports whether a response answers the request. Besides one with its id this
+// is an error response without an id, if it is the first response on the connection. A later
+// one may be an earlier response once more and proves nothing. If the server's responses with
+// its status have ids, the answer is still to come; otherwise nobody can tell, which is an
+// error.
+func (e *exchange) answersRequest(resp *http.Response) (bool, error) {
+	first := !e.conn.used
+	e.conn.used = true
+	id := resp.Header.Get(e.pool.names.RequestID)
+	isError := resp.StatusCode >= http.StatusBadRequest
+	switch {
+	case id == e.request.ID:
+		if isError {
+			e.pool.recordErrorID(resp.StatusCode, e.isRejection(resp), true)
+		}
+		return true, nil
+	case id != "" || !isError:
+		return false, nil
+	case first:
+		e.pool.recordErrorID(resp.StatusCode, e.isRejection(resp), false)
+		e.singleUse = true // The server may send the response once more.
+		return true, nil
+	case !e.pool.errorsHaveID(resp.StatusCode):
+		return false, errNoMatch
+	}
+	e.singleUse = true
+	return false, nil
+}
+
+// isRejection reports whether a response says that the server did not run the request.
+func (e *exchange) isRejection(resp *http.Response) bool {
+	return resp.Header.Get(e.pool.names.NotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest
+}
+
 // newReply classifies a response and reads its body. A body that is too long for
 // maxBufferedAnswer is streamed. A successful response without the receipt of a backend
 // server is malformed.
@@ -251,7 +288,7 @@
 	if e.request.OnHeader != nil && !malformed && !misdirected {
 		e.request.OnHeader(h)
 	}
-	if h.Get(names.NotExecuted) != "" || misdirected {
+	if e.isRejection(resp) {
 		_, err := io.CopyN(io.Discard, resp.Body, maxBufferedAnswer)
 		e.reuse = e.reuse && errors.Is(err, io.EOF)
 		e.finish()
@@ -292,7 +329,7 @@
 // recordReuse records whether the connection can be reused, and its idle timeout if the
 // server announces one.
 func (e *exchange) recordReuse(resp *http.Response) {
-	e.reuse = !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
+	e.reuse = !resp.Close && !e.singleUse && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
 	for _, param := range strings.Split(resp.Header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(param), "=")
 		if n, err := strconv.Atoi(value); err == nil && name == "timeout" {
