Drain the connections between instances before a stop closes them

What callers saw: beside a planned stop of another instance, 502 for a request that its server had answered or that had never been read, or a second run of a safe one. An instance that itself stops could lose it so.

Cause: Stop waited until no request was at the backend server, then ended all connections between instances. A request counts as ended there as soon as its answer is read, so a reply still to be written, or a request that had just been sent, was cut. Its sender can't tell whether it ran.

Change: the mesh server has a Drain like the HTTP server, beside it. It reads no further request, waits until the replies to those that it has read are written, and at the end of the time for work cancels what is handled, so that the reply tells what is known (what only waited did not run). Each connection ends with a refusal in the place of the next reply: a request that was on its way, and which is never read, is so known not to have run. A sender with nothing on its way sees bytes on a resting connection and doesn't use it; its code is as it was. The listener is closed first, as a request sent on a connection that was never accepted has an unknown end too. A message names a load only if it is known.

A stop takes half a second longer if senders keep resting connections, as each lingers that long.

--- a/io/berylmesh/message.go
+++ b/io/berylmesh/message.go
@@ -153,8 +153,10 @@
 // writeReply sends the reply to req with its whole body.
 func (m *Mesh) writeReply(c *conn, req *berylrequest.Request, reply *berylreply.Reply) error {
 	c.startMessage()
-	c.writeField(fieldLoad, strconv.Itoa(reply.Busy)+" "+strconv.Itoa(reply.Limit)+" "+
-		strconv.FormatInt(reply.MeanServiceTime.Milliseconds(), 10)+" "+strconv.FormatInt(reply.QueueTime.Milliseconds(), 10), false)
+	if reply.HasLoad {
+		c.writeField(fieldLoad, strconv.Itoa(reply.Busy)+" "+strconv.Itoa(reply.Limit)+" "+
+			strconv.FormatInt(reply.MeanServiceTime.Milliseconds(), 10)+" "+strconv.FormatInt(reply.QueueTime.Milliseconds(), 10), false)
+	}
 	if reply.Outcome != berylattempt.Answered {
 		c.writeField(fieldFailure, reply.Outcome.String()+" "+reply.Reason+" "+strconv.FormatInt(reply.RetryAfter.Milliseconds(), 10)+" "+reply.ActualServerID, false)
 		_, err := c.writeMessage(nil, true)
--- a/io/berylmesh/server.go
+++ b/io/berylmesh/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -17,9 +18,19 @@
 	ln     net.Listener
 	handle func(ctx context.Context, req *berylrequest.Request) *berylreply.Reply
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
-	wg    sync.WaitGroup
+	mu        sync.Mutex
+	conns     map[*conn]*request
+	accepting bool // Run has not returned
+	draining  bool // no request is read
+	workEnded bool // no request is handled
+	closed    bool
+	wg        sync.WaitGroup
+}
+
+// request is the request that a connection has, if any.
+type request struct {
+	running bool   // from its first byte until its reply is written
+	cancel  func() // while it is handled, else nil
 }
 
 const (
@@ -32,32 +43,53 @@
 
 // NewServer returns a server that passes requests from ln to handle once Run is called.
 func (m *Mesh) NewServer(ln net.Listener, handle func(ctx context.Context, req *berylrequest.Request) *berylreply.Reply) *Server {
-	return &Server{mesh: m, ln: ln, handle: handle, conns: map[*conn]struct{}{}}
+	return &Server{mesh: m, ln: ln, handle: handle, conns: map[*conn]*request{}}
 }
 
-// Run accepts connections until ctx has ended and the listener is closed.
+// Run accepts connections until the listener is closed.
 func (s *Server) Run(ctx context.Context) {
+	s.setAccepting(true)
+	defer s.setAccepting(false)
 	for {
 		nc, err := s.ln.Accept()
 		if err != nil {
-			if ctx.Err() != nil {
+			if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
 				return
 			}
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
 		c := newConn(nc)
-		s.mu.Lock()
-		s.conns[c] = struct{}{}
-		s.mu.Unlock()
-		s.wg.Go(func() {
-			s.mesh.guard(panicPart, func() { s.serveConn(ctx, c) })
+		if !s.start(ctx, c) {
 			c.close()
-			s.mu.Lock()
-			delete(s.conns, c)
-			s.mu.Unlock()
-		})
+			return
+		}
+	}
+}
+
+func (s *Server) setAccepting(accepting bool) {
+	s.mu.Lock()
+	s.accepting = accepting
+	s.mu.Unlock()
+}
+
+// start serves a connection in a goroutine. It returns false if the server is closed.
+func (s *Server) start(ctx context.Context, c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
 	}
+	r := &request{}
+	s.conns[c] = r
+	s.wg.Go(func() {
+		s.mesh.guard(panicPart, func() { s.serveConn(ctx, c, r) })
+		c.close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	})
+	return true
 }
 
 // Close closes the listener and all connections and waits until their requests have
@@ -65,6 +97,7 @@
 func (s *Server) Close() {
 	_ = s.ln.Close() // Fails only if it was closed before.
 	s.mu.Lock()
+	s.closed = true
 	for c := range s.conns {
 		c.close()
 	}
@@ -73,25 +106,35 @@
 }
 
 // serveConn handles the requests of one connection one after the other.
-func (s *Server) serveConn(ctx context.Context, c *conn) {
-	for {
+func (s *Server) serveConn(ctx context.Context, c *conn, r *request) {
+	for !s.isDraining() {
+		if _, err := c.br.Peek(1); err != nil && !s.isDraining() {
+			return // The peer closed the connection.
+		}
+		if !s.beginRequest(r) {
+			break
+		}
 		req, err := s.mesh.readRequest(c)
 		if err != nil {
 			return // The peer closed the connection or is not an instance.
 		}
-		if !s.serveRequest(ctx, c, req) {
+		if !s.serveRequest(ctx, c, req, r) {
 			return
 		}
+		s.endRequest(r)
 	}
+	s.refuseNext(c)
 }
 
 // serveRequest handles one request and reports whether the connection can be used again.
-func (s *Server) serveRequest(parent context.Context, c *conn, req *berylrequest.Request) bool {
+func (s *Server) serveRequest(parent context.Context, c *conn, req *berylrequest.Request, r *request) bool {
 	ctx, cancel := context.WithDeadline(parent, req.Deadline)
 	defer cancel()
+	s.setCancel(r, cancel)
 	stop := cancelOnClose(c, cancel)
 	reply := s.handle(ctx, req)
 	stop()
+	s.setCancel(r, nil)
 	defer reply.Close()
 	if body, ok := req.Stream.(*chunkReader); ok && !body.done {
 		// The rest of the request body is still to come, so the connection cannot be reused.
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -225,7 +225,6 @@
 }
 
 const (
-	drainCheck = 50 * time.Millisecond
 	leaveTells = 3 // words that say so, in case one gets lost
 	tellGap    = 30 * time.Millisecond
 )
@@ -247,10 +246,10 @@
 	}
 	s.beside.RefuseNew()
 	berylclock.Sleep(context.Background(), time.Until(begin.Add(times.stopReading)))
-	s.face.Drain(time.Until(begin.Add(times.endWork)), times.endAnswers-times.endWork)
-	for time.Since(begin) < times.endWork && s.beside.Busy() > 0 {
-		time.Sleep(drainCheck)
-	}
+	var drained sync.WaitGroup
+	drained.Go(func() { s.face.Drain(time.Until(begin.Add(times.endWork)), times.endAnswers-times.endWork) })
+	drained.Go(func() { s.work.Drain(time.Until(begin.Add(times.endWork)), times.endAnswers-times.endWork) })
+	drained.Wait()
 	s.log.Info().Int("callers", s.face.Busy()).Int("backend", s.beside.Busy()).Dur("took", time.Since(begin)).Msg("stopped")
 	closed := make(chan struct{})
 	go func() { s.Close(); close(closed) }() // Ends with the process at the latest.
