Show that an unreadable body cuts the requests before it

Output on this code, 5 of 5:

--- FAIL: TestUnreadableBodyCutsEarlierRequests (0.00s) --- FAIL: TestUnreadableBodyCutsEarlierRequests/malformed (0.00s) unexpected EOF --- FAIL: TestUnreadableBodyCutsEarlierRequests/too_long (0.00s) read tcp 127.0.0.1:44856->127.0.0.1:44737: read: connection reset by peer

--- a/io/berylhttpserver/drain_test.go
+++ b/io/berylhttpserver/drain_test.go
@@ -359,3 +359,34 @@
 		})
 	}
 }
+
+// A request whose body was malformed took the answers to the requests before it with it.
+func TestUnreadableBodyCutsEarlierRequests(t *testing.T) {
+	for _, c := range []struct {
+		name, second, want string
+	}{
+		{"malformed", "PUT /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", "400 "},
+		{"too long", "PUT /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + "8000\r\n" + strings.Repeat("a", 0x8000) + "\r\n", "413 "},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			s := New(ln, func(context.Context, *Request) *Answer {
+				time.Sleep(100 * time.Millisecond)
+				return textAnswer("ok")
+			}, func(*Request) bool { return false }, func() Limits {
+				limits := testLimits()
+				limits.MaxBodyBytes = 1000
+				return limits
+			})
+			go s.Run(context.Background())
+			defer s.Close()
+			nc, err := net.Dial("tcp", ln.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = nc.Close() }()
+			_, err = io.WriteString(nc, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"+c.second)
+			require.NoError(t, err)
+			require.Equal(t, []string{"200 ok", c.want}, readAnswers(t, nc, 2))
+		})
+	}
+}
