Answer the requests before one whose body can't be read

What callers saw: a connection ended at once, with the answers to requests that were running or answered, when a later request on it had a malformed body, one above the limit (which a new configuration may have lowered), or one that didn't arrive for 30 s. The later request got no answer either.

Cause: an unreadable body aborted the connection, unlike an unreadable header, whose answer waits for its turn.

Change: the request gets 400, 408 or 413 in its turn, as the last answer of the connection. It has not been started. If the caller has disconnected, the requests before it are cancelled, as before.

--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -256,13 +256,12 @@
 		}
 	}
 	stream, err := c.readBody(httpReq, r, limits)
-	if err != nil && c.mustRefuse() {
-		c.wg.Go(func() { c.reply(p, written, prevWritten, c.server.refuse(r), true) })
-		return written, false
-	}
 	if err != nil {
-		c.abortRequest(p, err)
-		close(written)
+		c.wg.Go(func() {
+			a := &Answer{Abort: true} // unless bodyErrorAnswer returns
+			c.server.guard(panicPart, func() { a = c.bodyErrorAnswer(r, err) })
+			c.reply(p, written, prevWritten, a, true)
+		})
 		return written, false
 	}
 	c.wg.Go(func() {
@@ -316,6 +315,22 @@
 	return http.StatusBadRequest
 }
 
+// bodyErrorAnswer returns the answer to a request that was not started because its body could
+// not be read.
+func (c *conn) bodyErrorAnswer(r *Request, err error) *Answer {
+	status := errorStatus(err)
+	switch {
+	case c.mustRefuse():
+		return c.server.refuse(r)
+	case errors.Is(err, errBodyTooLong):
+		status = http.StatusRequestEntityTooLarge
+	case status == 0:
+		c.cancelIfDisconnected(err)
+		return &Answer{Abort: true}
+	}
+	return &Answer{Status: status, Close: true}
+}
+
 // setReadTimeout sets the timeout for all further reads of the request together.
 func (c *conn) setReadTimeout(timeout time.Duration) {
 	c.mu.Lock()
