Pass on the length of answers to HEAD

What callers saw: the answer to a HEAD request had Content-Length 0, whatever length the backend server had told, so that a complete resource looked empty.

Cause: the HTTP server took the length of the body at hand, which is left out for HEAD, and messages between instances carried a length only for bodies in chunks.

Evidence: TestAnswerToHeadHasAnotherLength and TestLengthOfReplyToHeadIsLost failed on the code before.

Now the length that the backend server told is used where the body is left out, also between instances. An instance of an earlier build sends and expects no such length; the answer has a length of 0 then, as before.

--- a/io/berylhttpserver/write.go
+++ b/io/berylhttpserver/write.go
@@ -24,7 +24,7 @@
 	}
 	noBody := a.OmitBody || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified || a.Status < 200
 	length := a.Length
-	if a.Stream == nil {
+	if a.Stream == nil && (!a.OmitBody || len(a.Body) > 0) {
 		length = int64(len(a.Body))
 	}
 	chunked := length < 0 && !noBody
--- a/io/berylmesh/message.go
+++ b/io/berylmesh/message.go
@@ -26,7 +26,7 @@
 	fieldWorkspace  = ":w"
 	fieldCaller     = ":c"
 	fieldDeadlines  = ":d" // milliseconds left until the deadline and until the target time
-	fieldBodyLength = ":n" // length of a chunked body, if known
+	fieldBodyLength = ":n" // length of a chunked body, if known; of the body that a reply to HEAD leaves out, -1 if unknown
 	fieldStatus     = ":s"
 	fieldFailure    = ":e" // outcome, reason, retry-after in milliseconds, and id of the actual backend server
 	fieldLoad       = ":l" // busy, limit, mean service time and queue time in milliseconds
@@ -170,6 +170,9 @@
 		}
 	}
 	if reply.Stream == nil && len(reply.Body) <= maxWholeBody {
+		if len(reply.Body) == 0 && reply.Length != 0 {
+			c.writeField(fieldBodyLength, strconv.FormatInt(reply.Length, 10), false)
+		}
 		_, err := c.writeMessage(reply.Body, true)
 		return err
 	}
@@ -190,6 +193,7 @@
 // Stream, to be read from the connection.
 func (m *Mesh) readReply(c *conn, requestID string) (*berylreply.Reply, error) {
 	reply := &berylreply.Reply{Outcome: berylattempt.Answered, Header: http.Header{}, Length: -1}
+	lengthTold := false
 	bodyLength, err := c.readHead(func(f hpack.HeaderField) {
 		switch f.Name {
 		case fieldStatus:
@@ -202,7 +206,7 @@
 			reply.Busy, reply.Limit, reply.MeanServiceTime = int(parseInt(v[0])), int(parseInt(v[1])), parseMillis(v[2])
 			reply.QueueTime, reply.HasLoad = parseMillis(v[3]), true
 		case fieldBodyLength:
-			reply.Length = parseInt(f.Value)
+			reply.Length, lengthTold = parseInt(f.Value), true
 		default:
 			v := f.Value
 			if f.Name == m.names.RequestID && v == "" {
@@ -220,7 +224,9 @@
 		reply.Stream = io.NopCloser(&chunkReader{br: c.br})
 		return reply, nil
 	}
-	reply.Length = int64(bodyLength)
+	if bodyLength > 0 || !lengthTold {
+		reply.Length = int64(bodyLength)
+	}
 	reply.Body, err = c.readBody(bodyLength)
 	return reply, err
 }
