Refuse lists that are not UTF-8

What callers saw (Connect mode): daemons that learn the lists from others kept the old ones, or none, while the ones that read them from the platform had the new ones in force.

Cause: the JSON decoder replaces bytes that are not UTF-8, so that such a list passed validation, while its entries are kept as they came. Messages between daemons hold texts that must be UTF-8, so that every message with these entries failed: "string field contains invalid UTF-8".

The parser of settings and lists now reports the first line that is not UTF-8. The lists are then refused as a whole, as for any other finding, and the last good ones stay in force.

--- a/core/beryljson/node.go
+++ b/core/beryljson/node.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"berylspan/core/berylfinding"
 )
@@ -25,10 +26,15 @@
 	findings *[]berylfinding.Finding
 }
 
-// Parse parses data. Errors found here or later by the methods of a Node are
-// appended to findings. After a syntax error the returned node does not exist.
+// Parse parses data, which must be UTF-8. Errors found here or later by the methods of a
+// Node are appended to findings. After a syntax error the returned node does not
+// exist.
 func Parse(file string, data []byte, findings *[]berylfinding.Finding) Node {
 	n := Node{file: file, findings: findings}
+	if i := invalidUTF8(data); i >= 0 {
+		n.AddFinding(fmt.Sprintf("line %d: not UTF-8", 1+bytes.Count(data[:i], []byte("\n"))))
+		return n
+	}
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.UseNumber()
 	v, err := n.readValue(dec, "", 0)
@@ -44,6 +50,19 @@
 	return n
 }
 
+// invalidUTF8 returns the index of the first byte that is not part of a UTF-8 text, or -1. The
+// decoder would replace such bytes.
+func invalidUTF8(data []byte) int {
+	for i := 0; i < len(data); {
+		r, size := utf8.DecodeRune(data[i:])
+		if r == utf8.RuneError && size <= 1 {
+			return i
+		}
+		i += size
+	}
+	return -1
+}
+
 // maxDepth bounds the depth of a document in levels. The paths of all levels around a value are
 // kept while it is read.
 const maxDepth = 32
