Name the reason of errors without an id

An attempt that ended because an error on a reused connection had no id was logged as malformed, like an answer that cannot be read. It has a reason of its own now, noid, so that operators see which server omits ids; other instances are chosen before that server, as after a rejection.

--- a/io/berylconnpool/refusal_test.go
+++ b/io/berylconnpool/refusal_test.go
@@ -14,6 +14,7 @@
 
 	"berylspan/core/berylattempt"
 	"berylspan/core/berylheadernames"
+	"berylspan/io/berylreply"
 
 	"github.com/stretchr/testify/require"
 )
@@ -65,6 +66,8 @@
 					require.NotEqual(t, berylattempt.Unsent, reply.Outcome, "request %s ran", id)
 					if reply.Outcome == berylattempt.Answered {
 						require.Equal(t, "own", string(reply.Body))
+					} else {
+						require.Equal(t, berylreply.ReasonNoID, reply.Reason)
 					}
 				}
 			})
--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -86,6 +86,8 @@
 	switch {
 	case errors.Is(err, beryllimitedreader.ErrLimit), errors.Is(err, errOverlong):
 		return berylreply.ReasonOverlong
+	case errors.Is(err, errNoID):
+		return berylreply.ReasonNoID
 	case errors.Is(err, errNoMatch), strings.Contains(err.Error(), "malformed"):
 		return berylreply.ReasonMalformed
 	}
@@ -199,8 +201,9 @@
 }
 
 var (
-	errNoMatch  = errors.New("no response has the id of the request")            //nolint:gochecknoglobals // A sentinel.
-	errOverlong = errors.New("answer to another request exceeds its size limit") //nolint:gochecknoglobals // A sentinel.
+	errNoMatch  = errors.New("no response has the id of the request")               //nolint:gochecknoglobals // A sentinel.
+	errNoID     = errors.New("error response without an id on a reused connection") //nolint:gochecknoglobals // A sentinel.
+	errOverlong = errors.New("answer to another request exceeds its size limit")    //nolint:gochecknoglobals // A sentinel.
 )
 
 // readResponse returns the response to the request. It skips interim responses and
@@ -264,7 +267,7 @@
 		e.singleUse = true // The server may send the response once more.
 		return true, nil
 	case !e.pool.errorsHaveID(resp.StatusCode):
-		return false, errNoMatch
+		return false, errNoID
 	}
 	e.singleUse = true
 	return false, nil
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -209,7 +209,8 @@
 	case reply.Reason == berylreply.ReasonThrottled:
 		p.tracker.Throttled(now, id, q.rule.Name)
 	case reply.Reason == berylreply.ReasonNoConnection, reply.Reason == berylreply.ReasonShuttingDown, reply.Reason == berylreply.ReasonWrongServer,
-		reply.Reason == berylreply.ReasonPeerSilent, reply.Reason == berylreply.ReasonRejected, reply.Reason == berylreply.ReasonOverlong:
+		reply.Reason == berylreply.ReasonPeerSilent, reply.Reason == berylreply.ReasonRejected, reply.Reason == berylreply.ReasonOverlong,
+		reply.Reason == berylreply.ReasonNoID:
 		p.tracker.Failed(now, id)
 	}
 }
--- a/io/berylreply/reply.go
+++ b/io/berylreply/reply.go
@@ -47,6 +47,7 @@
 	ReasonConnectionBroken = "broken"    // the connection broke
 	ReasonMalformed        = "malformed" // the response was invalid or incomplete
 	ReasonOverlong         = "overlong"  // the response exceeded the size limit of its head or had a long body that answers another request
+	ReasonNoID             = "noid"      // an error without an id came on a reused connection, which may be that of an earlier request
 	ReasonRejected         = "shed"      // the backend server rejected it
 	ReasonCanceled         = "canceled"  // the sender cancelled it or its deadline passed
 	ReasonPanic            = "panic"     // the daemon failed while it handled the request
