Tell the end of a backend server from a broken connection

When the connection of a request breaks before its answer, the runner dials the server once; the connection is kept for the next request. Replies are not delayed.

--- a/io/berylconnpool/pool.go
+++ b/io/berylconnpool/pool.go
@@ -15,6 +15,8 @@
 	"berylspan/core/berylheadernames"
 	"berylspan/io/berylpanic"
 	"berylspan/io/berylsocket"
+
+	"github.com/rotisserie/eris"
 )
 
 // Pool sends requests to one backend server and reuses idle connections. It is safe for
@@ -86,6 +88,17 @@
 	return newConn(nc), nil
 }
 
+// Dial opens a connection and keeps it for a later request. It returns the error of the
+// dial, syscall.ECONNREFUSED among others.
+func (p *Pool) Dial(ctx context.Context) error {
+	nc, err := p.dial(ctx, p.addr)
+	if err != nil {
+		return eris.Wrapf(err, "dial backend server at %s", p.addr)
+	}
+	p.put(newConn(nc))
+	return nil
+}
+
 // put keeps a connection for reuse. It closes connections that have been idle for too
 // long or exceed maxIdle.
 func (p *Pool) put(c *conn) {
--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -20,8 +21,8 @@
 // Request is a request for the backend server. ID is the id of the request, which Header
 // contains too and the server returns in its answer. Header must not contain hop-by-hop
 // fields. The body is Body, followed by Stream if that is not nil; Length is that of the
-// whole body, or -1 if unknown. NonIdempotent is set if the request must not run twice.
-// OnHeader may be nil.
+// whole body, or -1 if unknown. NonIdempotent is set if the request must not run twice. The
+// functions may be nil.
 type Request struct {
 	Method        string
 	URI           string
@@ -33,6 +34,8 @@
 	Length        int64
 	NonIdempotent bool
 	OnHeader      func(h http.Header) // called with the header of the server's answer before onDone
+	OnAnswered    func()              // called before onDone when a whole answer with a receipt has been read
+	OnBroken      func()              // called before onDone if the connection broke before the whole answer, unless ctx was cancelled
 }
 
 const (
@@ -91,14 +94,37 @@
 	return berylreply.ReasonConnectionBroken
 }
 
+// isBroken reports whether the body of an answer could not be read because the connection
+// broke.
+func isBroken(err error) bool {
+	var opErr *net.OpError
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &opErr)
+}
+
 func (e *exchange) fail(ctx context.Context, reason string) *berylreply.Reply {
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		reason = berylreply.ReasonCanceled
+	case reason == berylreply.ReasonConnectionBroken:
+		e.reportBroken()
 	}
 	e.finish()
 	return berylreply.NewFailure(berylattempt.Unknown, reason)
 }
 
+func (e *exchange) reportBroken() {
+	if e.request.OnBroken != nil {
+		e.request.OnBroken()
+	}
+}
+
+// reportAnswered reports a whole answer with the given header.
+func (e *exchange) reportAnswered(h http.Header) {
+	if e.request.OnAnswered != nil && h.Get(e.pool.names.ResponseSignature) != "" {
+		e.request.OnAnswered()
+	}
+}
+
 // finish returns the connection to the pool, or closes it if its state is uncertain.
 func (e *exchange) finish() {
 	open := e.stopClosing()
@@ -269,6 +295,9 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer))
 	if err != nil {
 		e.reuse = false
+		if ctx.Err() == nil && isBroken(err) {
+			e.reportBroken()
+		}
 		return e.fail(ctx, berylreply.ReasonMalformed)
 	}
 	berylhopheaders.Strip(h)
@@ -278,12 +307,16 @@
 		if e.request.Method != http.MethodHead {
 			reply.Length = int64(len(body))
 		}
+		e.reportAnswered(h)
 		e.finish()
 		return reply
 	}
 	// The connection is closed if the stream is not read to its end.
 	reply.Stream = berylbody.New(resp.Body, func(complete bool) {
 		e.reuse = e.reuse && complete
+		if complete {
+			e.reportAnswered(h)
+		}
 		e.finish()
 	})
 	return reply
--- a/io/berylrequest/request.go
+++ b/io/berylrequest/request.go
@@ -4,9 +4,12 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"berylspan/core/beryllifetime"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Request is a request of a caller, together with what the instance that received it
@@ -36,6 +39,22 @@
 	TargetTime    time.Time // until then an answer is of full use
 }
 
+// Fingerprint returns a hash of what stays the same when a caller makes the request again, at
+// any instance: method, host, URI, workspace and body. Of a body that is streamed only the
+// length counts.
+func (r *Request) Fingerprint() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range []string{r.Method, r.Host, r.URI, r.Workspace, strconv.FormatInt(r.Length, 10)} {
+		_, _ = d.WriteString(s)
+		_, _ = d.WriteString("\x00")
+	}
+	if r.Stream == nil {
+		_, _ = d.Write(r.Body)
+	}
+	return d.Sum64()
+}
+
 // Lifetime returns the lifetime of the backend server that the request is meant for.
 func (r *Request) Lifetime() beryllifetime.Lifetime {
 	return beryllifetime.Lifetime{ID: r.ServerID, BornMs: r.ServerStartMs}
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -22,6 +22,7 @@
 	"berylspan/io/berylpanic"
 	"berylspan/io/berylreply"
 	"berylspan/io/berylrequest"
+	"berylspan/io/berylserverend"
 )
 
 // Runner runs requests on the local backend server. It is safe for concurrent use.
@@ -31,6 +32,7 @@
 	onRequestEnd   func(req *berylrequest.Request, queueTime time.Duration, reply *berylreply.Reply)
 	guard          func(part string, f func()) bool
 	onServerStatus func(serverID string, status berylserverstatus.Status, err error)
+	onServerEnd    func(berylserverend.ServerEnd)
 
 	mu             sync.Mutex
 	pool           *berylconnpool.Pool
@@ -49,6 +51,9 @@
 	answered       bool                     // whether the server has answered this daemon in that lifetime
 	status         berylserverstatus.Status // what the server last said about itself
 	malformedLimit string                   // last limit that could not be read
+	flights        map[*flight]struct{}
+	broken         []*flight // whose connection broke a short time ago
+	endChecks      int       // checks of whether the server has ended that were asked for and are not finished
 }
 
 // waiter is a request that waits for a slot.
@@ -83,6 +88,8 @@
 		onRequestEnd:   func(*berylrequest.Request, time.Duration, *berylreply.Reply) {},
 		guard:          berylpanic.Unguarded,
 		onServerStatus: func(string, berylserverstatus.Status, error) {},
+		onServerEnd:    func(berylserverend.ServerEnd) {},
+		flights:        map[*flight]struct{}{},
 		admission:      beryladmission.New[*waiter](initialLimit),
 		callGraph:      berylcallgraph.New(),
 		limiter:        berylinflight.New(),
@@ -293,8 +300,9 @@
 
 func (r *Runner) send(ctx context.Context, req *berylrequest.Request, admissionRequest beryladmission.Request) *berylreply.Reply {
 	start := time.Now()
+	f := &flight{req: req, start: start}
 	onDone := sync.OnceFunc(func() {
-		r.recordDone(req.Rule)
+		r.recordDone(f)
 		r.releaseSlot(admissionRequest, time.Since(start), ctx.Err() == nil)
 	})
 	returned := false
@@ -303,7 +311,7 @@
 			onDone()
 		}
 	}()
-	pool, sentTo := r.recordStart(start, req)
+	pool := r.recordStart(f)
 	h := req.Header.Clone()
 	h.Set(r.names.TimeLeft, strconv.FormatInt(max(1, req.Deadline.Sub(start).Milliseconds()), 10))
 	h.Set(r.names.RequestID, req.ID)
@@ -313,7 +321,8 @@
 	reply := pool.Send(ctx, &berylconnpool.Request{
 		Method: req.Method, URI: req.URI, Host: req.Host, ID: req.ID, Header: h,
 		Body: req.Body, Stream: req.Stream, Length: req.Length, NonIdempotent: !req.Idempotent,
-		OnHeader: func(h http.Header) { r.recordHeader(sentTo, h) },
+		OnHeader: func(h http.Header) { r.recordHeader(f, h) },
+		OnBroken: func() { r.recordBroken(f) },
 	}, onDone)
 	if !req.Nested {
 		r.recordEnd(ctx, req, reply)
@@ -322,26 +331,30 @@
 	return reply
 }
 
-// recordStart records that a request starts. It returns the pool to send it with and the
-// lifetime of the backend server that it is sent to.
-func (r *Runner) recordStart(now time.Time, req *berylrequest.Request) (*berylconnpool.Pool, beryllifetime.Lifetime) {
+// recordStart records that a request starts and sets the lifetime of the backend server that
+// it is sent to. It returns the pool to send it with.
+func (r *Runner) recordStart(f *flight) *berylconnpool.Pool {
+	req := f.req
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.callGraph.RequestStarted(now, req.Rule)
+	r.callGraph.RequestStarted(f.start, req.Rule)
 	if !req.Nested {
-		r.limiter.Begin(now, req.Rule, req.Importance, req.TargetTime.Sub(now))
+		r.limiter.Begin(f.start, req.Rule, req.Importance, req.TargetTime.Sub(f.start))
 	}
 	r.running[req.Rule]++
 	r.ranks[req.Rule] = req.Rank
-	return r.pool, r.lifetime
+	f.lifetime = r.lifetime
+	r.flights[f] = struct{}{}
+	return r.pool
 }
 
 // recordDone records that the backend server has finished with a request.
-func (r *Runner) recordDone(rule string) {
+func (r *Runner) recordDone(f *flight) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.callGraph.RequestEnded(time.Now(), rule)
-	r.running[rule]--
+	r.callGraph.RequestEnded(time.Now(), f.req.Rule)
+	r.running[f.req.Rule]--
+	delete(r.flights, f)
 }
 
 func setOrDelete(h http.Header, name, value string) {
--- /dev/null
+++ b/io/berylrunner/serverend.go
@@ -0,0 +1,148 @@
+package berylrunner
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"syscall"
+	"time"
+
+	"berylspan/core/beryllifetime"
+	"berylspan/io/berylrequest"
+	"berylspan/io/berylserverend"
+)
+
+// OnServerEnd sets a function that is called when the backend server ended, without having
+// announced it, while it ran requests.
+func OnServerEnd(f func(berylserverend.ServerEnd)) func(*Runner) {
+	return func(r *Runner) { r.onServerEnd = f }
+}
+
+// flight is a request that was sent to the backend server and is not answered.
+type flight struct {
+	req      *berylrequest.Request
+	lifetime beryllifetime.Lifetime
+	start    time.Time
+	brokenAt time.Time // when its connection broke, zero before
+}
+
+const (
+	endDialTimeout    = time.Second
+	endSettleTime     = 250 * time.Millisecond // in which all connections to a server that ended are seen to break
+	endSettleInterval = 5 * time.Millisecond
+	brokenTTL         = time.Second // how long a broken connection counts as a sign of an end
+)
+
+// recordBroken records that the connection of a request broke before the answer, and checks
+// whether the backend server has ended.
+func (r *Runner) recordBroken(f *flight) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f.brokenAt = now
+	r.broken = append(slices.DeleteFunc(r.broken, func(f *flight) bool { return now.Sub(f.brokenAt) > brokenTTL }), f)
+	if r.endChecks++; r.endChecks > 1 {
+		return
+	}
+	go func() { // Ends within the timeouts above, once no further connection breaks.
+		if !r.guard("server end", r.checkServerEnd) {
+			r.endChecksFailed()
+		}
+	}()
+}
+
+// endChecksFailed makes the next broken connection start a check again.
+func (r *Runner) endChecksFailed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endChecks = 0
+}
+
+// checkServerEnd checks whether the backend server still accepts connections, and does so
+// again if further connections broke meanwhile.
+func (r *Runner) checkServerEnd() {
+	for checks := 0; r.moreEndChecks(checks); {
+		r.mu.Lock()
+		pool := r.pool
+		checks = r.endChecks
+		r.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), endDialTimeout)
+		err := pool.Dial(ctx)
+		cancel()
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			r.dropBroken()
+			continue
+		}
+		r.awaitBroken()
+		for _, end := range r.takeServerEnds() {
+			r.onServerEnd(end)
+		}
+	}
+}
+
+// moreEndChecks reports whether connections broke after the first n of the running checks,
+// and ends the checks otherwise.
+func (r *Runner) moreEndChecks(n int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.endChecks > n {
+		return true
+	}
+	r.endChecks = 0
+	return false
+}
+
+// dropBroken forgets the broken connections: the server that they belonged to still runs.
+func (r *Runner) dropBroken() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.broken = nil
+}
+
+// awaitBroken waits until the connections of all requests that were sent before the first one
+// broke are broken too, but not longer than endSettleTime.
+func (r *Runner) awaitBroken() {
+	for deadline := time.Now().Add(endSettleTime); time.Now().Before(deadline); time.Sleep(endSettleInterval) {
+		r.mu.Lock()
+		settled := !slices.ContainsFunc(r.broken, func(f *flight) bool { return r.isRunning(f.lifetime) })
+		r.mu.Unlock()
+		if settled {
+			return
+		}
+	}
+}
+
+// isRunning reports whether the backend server still runs a request in the given lifetime that
+// was sent before the first connection to it broke. The caller holds the lock.
+func (r *Runner) isRunning(lifetime beryllifetime.Lifetime) bool {
+	first := slices.IndexFunc(r.broken, func(f *flight) bool { return f.lifetime == lifetime })
+	for f := range r.flights {
+		if f.lifetime == lifetime && f.brokenAt.IsZero() && f.start.Before(r.broken[first].brokenAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// takeServerEnds returns the lifetimes that ended and forgets their broken connections. A
+// lifetime has not ended while it runs other requests.
+func (r *Runner) takeServerEnds() []berylserverend.ServerEnd {
+	entry, known := r.listEntry()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	byLifetime := map[beryllifetime.Lifetime][]berylserverend.Request{}
+	for _, f := range r.broken {
+		if !r.isRunning(f.lifetime) {
+			byLifetime[f.lifetime] = append(byLifetime[f.lifetime], berylserverend.Request{ID: f.req.ID, Fingerprint: f.req.Fingerprint()})
+		}
+	}
+	r.broken = slices.DeleteFunc(r.broken, func(f *flight) bool { return byLifetime[f.lifetime] != nil })
+	var ends []berylserverend.ServerEnd
+	for lifetime, requests := range byLifetime {
+		planned := !known || entry.Born > lifetime.BornMs || (entry.Leaving && entry.ID == lifetime.ID) || (r.status.Leaving && r.lifetime == lifetime)
+		if !planned {
+			ends = append(ends, berylserverend.ServerEnd{Lifetime: lifetime, Requests: requests})
+		}
+	}
+	return ends
+}
--- a/io/berylrunner/status.go
+++ b/io/berylrunner/status.go
@@ -60,9 +60,11 @@
 }
 
 // recordHeader evaluates what the header of an answer says about the backend server. It does
-// nothing if the request was sent to the server in an earlier lifetime.
-func (r *Runner) recordHeader(sentTo beryllifetime.Lifetime, h http.Header) {
+// nothing more if the request was sent to the server in an earlier lifetime.
+func (r *Runner) recordHeader(f *flight, h http.Header) {
 	r.mu.Lock()
+	delete(r.flights, f) // It is answered; the rest of the answer may take long to be read.
+	sentTo := f.lifetime
 	if sentTo != r.lifetime {
 		r.mu.Unlock()
 		return
--- a/io/berylsidecar/meter.go
+++ b/io/berylsidecar/meter.go
@@ -19,6 +19,7 @@
 	works    *prometheus.CounterVec
 	waits    *prometheus.HistogramVec
 	panics   *prometheus.CounterVec
+	crashes  prometheus.Counter
 }
 
 const namespace = "berylspan"
@@ -45,7 +46,10 @@
 	m.panics = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "panics_total", Help: "Panics in the handling of one input, by part of the daemon.",
 	}, []string{"part"})
-	m.reg.MustRegister(m.requests, m.ends, m.works, m.waits, m.panics)
+	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "server_ends_total", Help: "Unannounced ends of the backend server beside the instance while it ran requests.",
+	})
+	m.reg.MustRegister(m.requests, m.ends, m.works, m.waits, m.panics, m.crashes)
 	return m
 }
 
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -96,7 +96,8 @@
 		Log:         log,
 		Observe:     s.meter.request,
 	})
-	s.beside = berylrunner.New(set.Backend, names, s.own, berylrunner.OnRequestEnd(s.seen), berylrunner.OnServerStatus(s.serverStatus), berylrunner.Guard(s.guard.Run))
+	s.beside = berylrunner.New(set.Backend, names, s.own, berylrunner.OnRequestEnd(s.seen), berylrunner.OnServerStatus(s.serverStatus),
+		berylrunner.OnServerEnd(s.serverEnded), berylrunner.Guard(s.guard.Run))
 	s.meter.watchServer(s.beside.ServerStatus)
 	return s
 }
