Refuse a request under which backend servers end

The callers of all other requests beside it got 502, and for seconds at a time no server of the service was left.

Cause: an attempt that broke was only 'unknown'. Nothing told the end of a server from a lost answer, nothing was remembered of the request beyond the one attempt, and each attempt has an id of its own, so that no instance recognized it when it came again.

The fix: what was running at the ends of three servers without an answer since is a suspect. It runs in trials only, one at a time, at the one server that all instances choose, and without another suspect beside it. An answer clears it everywhere, as the cause never gets one.

Why it works: three ends and one trial are four arrivals; the next is a minute later. Whoever was beside it pays with one trial.

--- a/io/berylgossip/gossip.go
+++ b/io/berylgossip/gossip.go
@@ -24,6 +24,7 @@
 	port        uint16
 	onHeartbeat func(host string, hb Heartbeat)
 	onData      func(host string, data []byte)
+	onCrashes   func(host string, data []byte)
 	guard       func(part string, f func()) bool
 
 	mu       sync.Mutex
@@ -41,19 +42,25 @@
 const (
 	kindHeartbeat = 'w'
 	kindData      = 'o'
+	kindCrashes   = 'c'
 )
 
 // New returns a gossip on conn that sends to the given port of other instances. The
 // goroutine of Run calls onHeartbeat with every heartbeat that is not outdated and
 // onData with what SendData has sent.
 func New(conn *net.UDPConn, port uint16, onHeartbeat func(host string, hb Heartbeat), onData func(host string, data []byte), opts ...func(*Gossip)) *Gossip {
-	g := &Gossip{conn: conn, port: port, onHeartbeat: onHeartbeat, onData: onData, guard: berylpanic.Unguarded, peers: map[string]*Peer{}}
+	g := &Gossip{conn: conn, port: port, onHeartbeat: onHeartbeat, onData: onData, onCrashes: func(string, []byte) {}, guard: berylpanic.Unguarded, peers: map[string]*Peer{}}
 	for _, opt := range opts {
 		opt(g)
 	}
 	return g
 }
 
+// OnCrashes sets the function that the goroutine of Run calls with what SendCrashes has sent.
+func OnCrashes(f func(host string, data []byte)) func(*Gossip) {
+	return func(g *Gossip) { g.onCrashes = f }
+}
+
 // Guard sets the function that runs the handling of one datagram and reports whether it
 // returned without a panic.
 func Guard(run func(part string, f func()) bool) func(*Gossip) {
@@ -83,6 +90,8 @@
 	switch kind, data := datagram[0], datagram[1:]; kind {
 	case kindData:
 		g.onData(host, data)
+	case kindCrashes:
+		g.onCrashes(host, data)
 	case kindHeartbeat:
 		var hb Heartbeat
 		if cbor.Unmarshal(data, &hb) == nil && g.recordHeartbeat(host, hb) {
@@ -163,6 +172,14 @@
 	g.write(host, append([]byte{kindData}, data...))
 }
 
+// SendCrashes sends data about ends of backend servers to the hosts. It may be lost.
+func (g *Gossip) SendCrashes(hosts []string, data []byte) {
+	data = append([]byte{kindCrashes}, data...)
+	for _, host := range hosts {
+		g.write(host, data)
+	}
+}
+
 func (g *Gossip) write(host string, data []byte) {
 	ip, err := netip.ParseAddr(host)
 	if err != nil {
--- a/io/berylmesh/message.go
+++ b/io/berylmesh/message.go
@@ -21,7 +21,7 @@
 	fieldURI        = ":u"
 	fieldHost       = ":h"
 	fieldID         = ":i"
-	fieldRule       = ":r" // rule, service, flags (r: idempotent, c: nested call), rank and importance
+	fieldRule       = ":r" // rule, service, flags (r: idempotent, c: nested call, t: trial), rank and importance
 	fieldServer     = ":t" // id and start time of the backend server, and the limit that it named if any
 	fieldWorkspace  = ":w"
 	fieldCaller     = ":c"
@@ -48,6 +48,9 @@
 	if req.Nested {
 		flags += "c"
 	}
+	if req.Trial {
+		flags += "t"
+	}
 	c.writeField(fieldRule, req.Rule+" "+req.Service+" "+flags+" "+strconv.Itoa(req.Rank)+" "+strconv.Itoa(req.Importance), true)
 	server := req.ServerID + " " + strconv.FormatInt(req.ServerStartMs, 10)
 	if req.ServerLimited {
@@ -116,7 +119,7 @@
 		case fieldRule:
 			v := splitWords(f.Value, 5)
 			req.Rule, req.Service, req.Rank, req.Importance = v[0], v[1], int(parseInt(v[3])), int(parseInt(v[4]))
-			req.Idempotent, req.Nested = strings.Contains(v[2], "r"), strings.Contains(v[2], "c")
+			req.Idempotent, req.Nested, req.Trial = strings.Contains(v[2], "r"), strings.Contains(v[2], "c"), strings.Contains(v[2], "t")
 		case fieldServer:
 			v := splitWords(f.Value, 3)
 			req.ServerID, req.ServerStartMs = v[0], parseInt(v[1])
--- a/io/berylproxy/answer.go
+++ b/io/berylproxy/answer.go
@@ -102,6 +102,9 @@
 	if q.reason != "" {
 		event = event.Str("reason", q.reason)
 	}
+	if q.reason == berylreply.ReasonQuarantined {
+		event = event.Str("fingerprint", strconv.FormatUint(q.outgoing.Fingerprint(), 16))
+	}
 	if limit := a.Header.Get(p.Names.ServerLimit); limit != "" {
 		event = event.Str("limit", limit)
 	}
--- a/io/berylproxy/proxy.go
+++ b/io/berylproxy/proxy.go
@@ -46,6 +46,10 @@
 	CallEnded   func(took, waited time.Duration)
 	CallRank    func(rule string) int
 
+	// CheckSuspect reports whether a request may run as a trial only, because backend servers
+	// ended while they ran it, and how long it is until the next trial.
+	CheckSuspect func(r *berylrequest.Request) (suspect bool, wait time.Duration)
+
 	Quotas *berylratelimiter.RateLimiter
 	Log    zerolog.Logger
 
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -30,6 +30,7 @@
 	failedAnswer *berylreply.Reply // error answer, returned unless a retry has a better result
 	retryAfter   time.Duration     // shortest time until an overloaded instance may have room
 	overloaded   bool              // an attempt was refused, or an instance passed over, because of overload
+	quarantined  bool              // servers ended while they ran the request, and no trial is possible now
 }
 
 // run sends a request to instances until one answers or no further attempt is allowed.
@@ -43,6 +44,9 @@
 	st := &attemptState{tried: map[string]bool{}}
 	p.recordForBudget(q.outgoing.Service)
 	for q.attempts < maxInstancesTried && ctx.Err() == nil {
+		if p.checkQuarantine(q, st); st.quarantined {
+			break
+		}
 		to, ok := p.chooseInstance(q, st)
 		if !ok {
 			break
@@ -82,6 +86,10 @@
 	case berylattempt.Answered:
 		return true // retryAnswered has recorded it.
 	case berylattempt.Unsent:
+		if reply.Reason == berylreply.ReasonQuarantined {
+			st.quarantined, st.retryAfter = true, reply.RetryAfter
+			return false
+		}
 		if q.outgoing.Stream != nil && reply.Reason != berylreply.ReasonNoConnection {
 			return false // Part of the streamed body has been consumed.
 		}
@@ -90,6 +98,9 @@
 			if st.retryAfter == 0 || reply.RetryAfter < st.retryAfter {
 				st.retryAfter = reply.RetryAfter
 			}
+			if q.outgoing.Trial {
+				return false // A trial may be running there.
+			}
 		}
 		return reply.Reason != berylreply.ReasonExpired
 	case berylattempt.Unknown:
@@ -135,6 +146,9 @@
 	candidates := make([]berylplacement.Candidate, len(list))
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if q.outgoing.Trial {
+		return p.chooseTrial(q, st, list)
+	}
 	throttled := false
 	for i, entry := range list {
 		c := p.tracker.Candidate(now, entry.ID, q.rule.Name, entry.Slots)
@@ -262,6 +276,8 @@
 		return &berylhttpserver.Answer{Abort: true}
 	case st.failedAnswer != nil:
 		return p.newAnswer(st.failedAnswer, func() {})
+	case st.quarantined && !st.maybeRan:
+		return p.refuse(q, http.StatusServiceUnavailable, berylreply.ReasonQuarantined, max(st.retryAfter, berylbackoff.MinDelay))
 	case st.maybeRan && ctx.Err() != nil:
 		return p.refuse(q, http.StatusGatewayTimeout, q.reason, 0)
 	case st.maybeRan:
--- a/io/berylreply/reply.go
+++ b/io/berylreply/reply.go
@@ -37,20 +37,21 @@
 
 // Reasons for an attempt without an answer.
 const (
-	ReasonQueueFull        = "full"      // the request would wait too long in the queue
-	ReasonThrottled        = "bound"     // too many requests of its rule are late or fail because a service that they call is overloaded
-	ReasonExpired          = "expired"   // its deadline passed while it waited in the queue
-	ReasonShuttingDown     = "leaving"   // the instance is shutting down
-	ReasonServerLeaving    = "draining"  // the backend server has said that it is shutting down
-	ReasonWrongServer      = "other"     // a backend server other than the intended one has the address
-	ReasonNoConnection     = "dial"      // no connection could be established
-	ReasonConnectionBroken = "broken"    // the connection broke
-	ReasonMalformed        = "malformed" // the response was invalid or incomplete
-	ReasonOverlong         = "overlong"  // the response exceeded the size limit of its head or had a long body that answers another request
-	ReasonRejected         = "shed"      // the backend server rejected it
-	ReasonCanceled         = "canceled"  // the sender cancelled it or its deadline passed
-	ReasonPanic            = "panic"     // the daemon failed while it handled the request
-	ReasonPeerSilent       = "silent"    // no gossip came from the instance any more
+	ReasonQueueFull        = "full"        // the request would wait too long in the queue
+	ReasonThrottled        = "bound"       // too many requests of its rule are late or fail because a service that they call is overloaded
+	ReasonExpired          = "expired"     // its deadline passed while it waited in the queue
+	ReasonShuttingDown     = "leaving"     // the instance is shutting down
+	ReasonServerLeaving    = "draining"    // the backend server has said that it is shutting down
+	ReasonWrongServer      = "other"       // a backend server other than the intended one has the address
+	ReasonQuarantined      = "quarantined" // servers ended while they ran it before, and no trial is possible now
+	ReasonNoConnection     = "dial"        // no connection could be established
+	ReasonConnectionBroken = "broken"      // the connection broke
+	ReasonMalformed        = "malformed"   // the response was invalid or incomplete
+	ReasonOverlong         = "overlong"    // the response exceeded the size limit of its head or had a long body that answers another request
+	ReasonRejected         = "shed"        // the backend server rejected it
+	ReasonCanceled         = "canceled"    // the sender cancelled it or its deadline passed
+	ReasonPanic            = "panic"       // the daemon failed while it handled the request
+	ReasonPeerSilent       = "silent"      // no gossip came from the instance any more
 )
 
 // NewFailure returns a reply without an answer.
--- a/io/berylrequest/request.go
+++ b/io/berylrequest/request.go
@@ -32,6 +32,7 @@
 	Workspace     string
 	Caller        string    // service of the instance that received it
 	Idempotent    bool      // may run more than once
+	Trial         bool      // servers ended while they ran it before, and no other such request may run beside it
 	Nested        bool      // a call that a backend server makes while it runs another request
 	Rank          int       // order among waiting requests, lowest first
 	Importance    int       // steps above the least important requests
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -33,6 +33,8 @@
 	guard          func(part string, f func()) bool
 	onServerStatus func(serverID string, status berylserverstatus.Status, err error)
 	onServerEnd    func(berylserverend.ServerEnd)
+	onAnswered     func(req *berylrequest.Request)
+	checkSuspect   func(req *berylrequest.Request) (suspect bool, wait time.Duration)
 
 	mu             sync.Mutex
 	pool           *berylconnpool.Pool
@@ -52,8 +54,10 @@
 	status         berylserverstatus.Status // what the server last said about itself
 	malformedLimit string                   // last limit that could not be read
 	flights        map[*flight]struct{}
-	broken         []*flight // whose connection broke a short time ago
-	endChecks      int       // checks of whether the server has ended that were asked for and are not finished
+	trial          *flight                // the one suspect that may run, nil without one
+	broken         []*flight              // whose connection broke a short time ago
+	listed         beryllifetime.Lifetime // of the server in the list when it was last there
+	endChecks      int                    // checks of whether the server has ended that were asked for and are not finished
 }
 
 // waiter is a request that waits for a slot.
@@ -89,6 +93,8 @@
 		guard:          berylpanic.Unguarded,
 		onServerStatus: func(string, berylserverstatus.Status, error) {},
 		onServerEnd:    func(berylserverend.ServerEnd) {},
+		onAnswered:     func(*berylrequest.Request) {},
+		checkSuspect:   func(*berylrequest.Request) (bool, time.Duration) { return false, 0 },
 		flights:        map[*flight]struct{}{},
 		admission:      beryladmission.New[*waiter](initialLimit),
 		callGraph:      berylcallgraph.New(),
@@ -185,6 +191,9 @@
 	if r.shuttingDown {
 		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonShuttingDown)
 	}
+	if known {
+		r.listed = entry.Lifetime()
+	}
 	r.trackLifetime(r.newestLifetime(entry, known, req))
 	if known && (entry.Service != req.Service || (entry.ID != req.ServerID && entry.Born >= req.ServerStartMs)) {
 		reply := berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonWrongServer)
@@ -301,6 +310,10 @@
 func (r *Runner) send(ctx context.Context, req *berylrequest.Request, admissionRequest beryladmission.Request) *berylreply.Reply {
 	start := time.Now()
 	f := &flight{req: req, start: start}
+	if reply := r.checkQuarantine(f); reply != nil {
+		r.releaseSlot(admissionRequest, 0, false)
+		return reply
+	}
 	onDone := sync.OnceFunc(func() {
 		r.recordDone(f)
 		r.releaseSlot(admissionRequest, time.Since(start), ctx.Err() == nil)
@@ -322,7 +335,7 @@
 		Method: req.Method, URI: req.URI, Host: req.Host, ID: req.ID, Header: h,
 		Body: req.Body, Stream: req.Stream, Length: req.Length, NonIdempotent: !req.Idempotent,
 		OnHeader: func(h http.Header) { r.recordHeader(f, h) },
-		OnBroken: func() { r.recordBroken(f) },
+		OnBroken: func() { r.recordBroken(f) }, OnAnswered: func() { r.onAnswered(req) },
 	}, onDone)
 	if !req.Nested {
 		r.recordEnd(ctx, req, reply)
@@ -355,6 +368,9 @@
 	r.callGraph.RequestEnded(time.Now(), f.req.Rule)
 	r.running[f.req.Rule]--
 	delete(r.flights, f)
+	if r.trial == f && f.brokenAt.IsZero() {
+		r.trial = nil // Otherwise it remains until it is known whether the server ended.
+	}
 }
 
 func setOrDelete(h http.Header, name, value string) {
--- a/io/berylrunner/serverend.go
+++ b/io/berylrunner/serverend.go
@@ -24,6 +24,7 @@
 	lifetime beryllifetime.Lifetime
 	start    time.Time
 	brokenAt time.Time // when its connection broke, zero before
+	trial    bool
 }
 
 const (
@@ -55,7 +56,15 @@
 func (r *Runner) endChecksFailed() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.endChecksDone()
+}
+
+// endChecksDone records that no check runs. The caller holds the lock.
+func (r *Runner) endChecksDone() {
 	r.endChecks = 0
+	if r.trial != nil && !r.trial.brokenAt.IsZero() {
+		r.trial = nil
+	}
 }
 
 // checkServerEnd checks whether the backend server still accepts connections, and does so
@@ -88,7 +97,7 @@
 	if r.endChecks > n {
 		return true
 	}
-	r.endChecks = 0
+	r.endChecksDone()
 	return false
 }
 
@@ -125,7 +134,8 @@
 }
 
 // takeServerEnds returns the lifetimes that ended and forgets their broken connections. A
-// lifetime has not ended while it runs other requests.
+// lifetime has not ended while it runs other requests. The end of a server that is leaving, was
+// removed from the list or replaced there is planned.
 func (r *Runner) takeServerEnds() []berylserverend.ServerEnd {
 	entry, known := r.listEntry()
 	r.mu.Lock()
@@ -133,14 +143,15 @@
 	byLifetime := map[beryllifetime.Lifetime][]berylserverend.Request{}
 	for _, f := range r.broken {
 		if !r.isRunning(f.lifetime) {
-			byLifetime[f.lifetime] = append(byLifetime[f.lifetime], berylserverend.Request{ID: f.req.ID, Fingerprint: f.req.Fingerprint()})
+			byLifetime[f.lifetime] = append(byLifetime[f.lifetime], berylserverend.Request{ID: f.req.ID, Fingerprint: f.req.Fingerprint(), Trial: f.trial})
 		}
 	}
 	r.broken = slices.DeleteFunc(r.broken, func(f *flight) bool { return byLifetime[f.lifetime] != nil })
 	var ends []berylserverend.ServerEnd
 	for lifetime, requests := range byLifetime {
-		planned := !known || entry.Born > lifetime.BornMs || (entry.Leaving && entry.ID == lifetime.ID) || (r.status.Leaving && r.lifetime == lifetime)
-		if !planned {
+		removed := !known && r.listed == lifetime
+		leaving := (entry.Leaving && entry.Lifetime() == lifetime) || (r.status.Leaving && r.lifetime == lifetime)
+		if !removed && !leaving && entry.Born <= lifetime.BornMs {
 			ends = append(ends, berylserverend.ServerEnd{Lifetime: lifetime, Requests: requests})
 		}
 	}
--- a/io/berylrunner/serverend_test.go
+++ b/io/berylrunner/serverend_test.go
@@ -60,6 +60,7 @@
 		name    string
 		rules   []string // of the requests, whose ids are their places
 		leaving bool     // according to the list
+		removed bool     // from the list before the end
 		cancel  bool     // cancel the requests before the end
 		end     func(t *testing.T, s *holdingServer)
 		ids     []string // of the requests that ended with the server, nil without an end
@@ -70,19 +71,25 @@
 			_ = s.Listener.Close() // Of an open listener.
 		}},
 		{name: "the server had announced that it is leaving", rules: []string{"a", "b"}, leaving: true, end: func(t *testing.T, s *holdingServer) { s.crash(t) }},
+		{name: "the server had been removed from the list", rules: []string{"a", "b"}, removed: true, end: func(t *testing.T, s *holdingServer) { s.crash(t) }},
 		{name: "the requests were cancelled before", rules: []string{"a", "b"}, cancel: true, end: func(t *testing.T, s *holdingServer) { s.crash(t) }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := startHoldingServer(t)
 			entry := berylregistration.Registration{ID: "i-1", Service: "s", Slots: 20, Born: 1, Leaving: tc.leaving}
+			var removed atomic.Bool
 			var mu sync.Mutex
 			var ends []berylserverend.ServerEnd
-			r := berylrunner.New(s.Listener.Addr().String(), berylheadernames.Default(), func() (berylregistration.Registration, bool) { return entry, true },
-				berylrunner.OnServerEnd(func(end berylserverend.ServerEnd) {
-					mu.Lock()
-					defer mu.Unlock()
-					ends = append(ends, end)
-				}))
+			r := berylrunner.New(s.Listener.Addr().String(), berylheadernames.Default(), func() (berylregistration.Registration, bool) {
+				if removed.Load() {
+					return berylregistration.Registration{}, false
+				}
+				return entry, true
+			}, berylrunner.OnServerEnd(func(end berylserverend.ServerEnd) {
+				mu.Lock()
+				defer mu.Unlock()
+				ends = append(ends, end)
+			}))
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			var wg sync.WaitGroup
@@ -90,6 +97,7 @@
 				wg.Go(func() { r.Run(ctx, newRequest(i, rule, false)) })
 			}
 			require.Eventually(t, func() bool { return s.arrived.Load() == int32(len(tc.rules)) }, time.Second, time.Millisecond)
+			removed.Store(tc.removed)
 			if tc.cancel {
 				cancel()
 				time.Sleep(20 * time.Millisecond)
--- a/io/berylserverend/serverend.go
+++ b/io/berylserverend/serverend.go
@@ -15,4 +15,5 @@
 type Request struct {
 	ID          string
 	Fingerprint uint64 // as of berylrequest.Request
+	Trial       bool   // it ran as a trial, because servers had ended under it before
 }
--- a/io/berylsidecar/meter.go
+++ b/io/berylsidecar/meter.go
@@ -78,6 +78,13 @@
 	}))
 }
 
+// watchSuspects adds a gauge of the requests that may run in trials only.
+func (m *meter) watchSuspects(count func() int) {
+	m.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "quarantined_requests", Help: "Requests that may run in trials only, because backend servers ended while they ran them.",
+	}, func() float64 { return float64(count()) }))
+}
+
 func (m *meter) request(workspace, rule string, status int, reason string, took time.Duration) {
 	m.requests.WithLabelValues(workspace, rule).Observe(took.Seconds())
 	m.ends.WithLabelValues(rule, strconv.Itoa(status), reason).Inc()
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -52,6 +52,7 @@
 				s.mesh.EvictIdle()
 				s.beside.EvictIdle()
 				s.say(false)
+				s.crashes.Share()
 			})
 		}
 	}
@@ -101,7 +102,7 @@
 		w.ServerID = own.ID
 	}
 	w.Busy, w.Limit = s.beside.Load()
-	near, far, large := s.hosts(all)
+	near, far, large := s.hosts(all, int(s.turn.Add(1)))
 	err := s.gossip.SendHeartbeat(near, w)
 	if !large && err == nil {
 		err = s.gossip.SendHeartbeat(far, w)
@@ -133,8 +134,8 @@
 	return nil
 }
 
-// hosts returns the instances to tell, those of the own data centre and others.
-func (s *Sidecar) hosts(all bool) (near, far []string, large bool) {
+// hosts returns the instances to tell in a turn, those of the own data centre and others.
+func (s *Sidecar) hosts(all bool, turn int) (near, far []string, large bool) {
 	set := s.set.Load()
 	zones := map[string][]string{}
 	seen := map[string]bool{set.Host: true}
@@ -152,7 +153,6 @@
 			add(p.Host, p.Heartbeat.Zone)
 		}
 	}
-	turn := int(s.turn.Add(1))
 	place := placeOf(set.Host, zones[set.Zone])
 	large = len(seen) > berylproxy.MaxFullMeshSize
 	for zone, hosts := range zones {
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"berylspan/core/berylreserve"
 	"berylspan/core/berylserverstatus"
 	"berylspan/io/berylclock"
+	"berylspan/io/berylcrashes"
 	"berylspan/io/berylgossip"
 	"berylspan/io/berylhttpserver"
 	"berylspan/io/berylmesh"
@@ -46,6 +47,8 @@
 	beside *berylrunner.Runner
 	quotas *berylratelimiter.RateLimiter
 
+	crashes *berylcrashes.Crashes
+
 	reserveMu sync.Mutex
 	reserve   *berylreserve.Reserve
 	ramp      *berylramp.Ramp
@@ -82,6 +85,7 @@
 		berylstorecache.StartupPeers(s.startupPeers),
 		berylstorecache.Rank(s.place),
 		berylstorecache.OnChange(s.changed))
+	s.crashes = berylcrashes.New(log, s.sendCrashes)
 	s.quotas = berylratelimiter.New(set.Host, s.passQuota)
 	s.enter = berylproxy.New(&berylproxy.Proxy{
 		Names: names, Host: set.Host, Zone: set.Zone, Port: set.Work,
@@ -95,10 +99,13 @@
 		Quotas:      s.quotas,
 		Log:         log,
 		Observe:     s.meter.request,
+
+		CheckSuspect: s.crashes.Check,
 	})
 	s.beside = berylrunner.New(set.Backend, names, s.own, berylrunner.OnRequestEnd(s.seen), berylrunner.OnServerStatus(s.serverStatus),
-		berylrunner.OnServerEnd(s.serverEnded), berylrunner.Guard(s.guard.Run))
+		berylrunner.OnServerEnd(s.serverEnded), berylrunner.OnAnswered(s.crashes.Answered), berylrunner.CheckSuspect(s.crashes.Check), berylrunner.Guard(s.guard.Run))
 	s.meter.watchServer(s.beside.ServerStatus)
+	s.meter.watchSuspects(s.crashes.Suspects)
 	return s
 }
 
@@ -156,7 +163,7 @@
 		return eris.New("no datagram socket")
 	}
 	s.udp = udp
-	s.gossip = berylgossip.New(udp, port(set.Port), s.hear(run), s.hearQuota, berylgossip.Guard(s.guard.Run))
+	s.gossip = berylgossip.New(udp, port(set.Port), s.hear(run), s.hearQuota, berylgossip.OnCrashes(s.hearCrashes), berylgossip.Guard(s.guard.Run))
 	s.face = berylhttpserver.New(callers, s.enter.Serve, s.enter.MustRunInOrder, s.limits, berylhttpserver.Guard(s.guard.Run))
 	s.loops.Go(func() { s.gossip.Run(run) })
 	s.loops.Go(func() { s.view.Run(run) })
