End a trial when its answer begins

A trial of a download lasted until its caller had read the whole answer, and all other suspects for that server were refused meanwhile. A server that has begun to answer is past the point at which such requests end it, and a request whose answer has begun is no candidate anyway.

TestOneTrialAtATime fails before ('expected: 0, actual: 1', the second trial is refused while the first answer is unread) and passes now.

--- a/io/berylrunner/quarantine_test.go
+++ b/io/berylrunner/quarantine_test.go
@@ -70,6 +70,10 @@
 	require.Equal(t, berylattempt.Answered, r.Run(t.Context(), newRequest(3, "plain", false)).Outcome)
 	require.Equal(t, berylattempt.Answered, (<-first).Outcome)
 	require.Equal(t, berylattempt.Answered, trial(4, "suspect").Outcome)
+	long := trial(7, "long")
+	require.Equal(t, berylattempt.Answered, long.Outcome)
+	require.Equal(t, berylattempt.Answered, trial(8, "suspect").Outcome, "the answer to the other one has begun")
+	long.Close()
 	require.Equal(t, berylreply.ReasonConnectionBroken, trial(5, "lost").Reason)
 	require.Eventually(t, func() bool { return trial(6, "suspect").Outcome == berylattempt.Answered }, 3*time.Second, 10*time.Millisecond, "the lost trial is over")
 }
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -367,10 +367,7 @@
 	defer r.mu.Unlock()
 	r.callGraph.RequestEnded(time.Now(), f.req.Rule)
 	r.running[f.req.Rule]--
-	delete(r.flights, f)
-	if r.trial == f && f.brokenAt.IsZero() {
-		r.trial = nil // Otherwise it remains until it is known whether the server ended.
-	}
+	r.removeFlight(f)
 }
 
 func setOrDelete(h http.Header, name, value string) {
--- a/io/berylrunner/serverend.go
+++ b/io/berylrunner/serverend.go
@@ -27,6 +27,15 @@
 	trial    bool
 }
 
+// removeFlight records that the server is not running a request any more. If its connection
+// broke, a trial lasts until it is known whether the server has ended. The caller holds the lock.
+func (r *Runner) removeFlight(f *flight) {
+	delete(r.flights, f)
+	if r.trial == f && f.brokenAt.IsZero() {
+		r.trial = nil
+	}
+}
+
 const (
 	endDialTimeout    = time.Second
 	endSettleTime     = 250 * time.Millisecond // in which all connections to a server that ended are seen to break
--- a/io/berylrunner/serverend_test.go
+++ b/io/berylrunner/serverend_test.go
@@ -19,7 +19,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// holdingServer answers requests after holdTime, and loses the answers to some of them at once or
+// holdingServer answers requests after holdTime, or begins a long answer at once, and loses the answers to some of them at once or
 // after a quarter of that.
 type holdingServer struct {
 	*httptest.Server
@@ -41,6 +41,11 @@
 			time.Sleep(holdTime / 4)
 			panic(http.ErrAbortHandler)
 		}
+		if strings.HasPrefix(r.URL.Path, "/long") {
+			w.Header().Set(n.RequestID, r.Header.Get(n.RequestID))
+			w.Header().Set(n.ResponseSignature, "x")
+			_, _ = w.Write(make([]byte, 1<<20)) // The reader may leave.
+		}
 		select {
 		case <-time.After(holdTime):
 		case <-r.Context().Done():
--- a/io/berylrunner/status.go
+++ b/io/berylrunner/status.go
@@ -63,7 +63,7 @@
 // nothing more if the request was sent to the server in an earlier lifetime.
 func (r *Runner) recordHeader(f *flight, h http.Header) {
 	r.mu.Lock()
-	delete(r.flights, f) // It is answered; the rest of the answer may take long to be read.
+	r.removeFlight(f) // It is answered; the rest of the answer may take long to be read.
 	sentTo := f.lifetime
 	if sentTo != r.lifetime {
 		r.mu.Unlock()
