Recognize the end of a server that accepts connections again at once

A server under a supervisor that keeps its listener, or starts it again within milliseconds, accepted the dial that follows a broken connection, so its end counted as lost answers.

Ends that only the accepted dial speaks against are now kept, and reported when the daemon learns of another lifetime that began within a second of the break. Lost answers alone, and a server that starts later, still count as no end.

TestServerEnd/another_server_accepts_connections_at_once fails before ('Condition never satisfied') and passes now, 3 runs with -race and 2 without; the other six cases as before. The interval at which the check looks whether all connections are broken is 10 ms now, as it also runs while answers get lost.

--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -54,8 +54,9 @@
 	status         berylserverstatus.Status // what the server last said about itself
 	malformedLimit string                   // last limit that could not be read
 	flights        map[*flight]struct{}
-	trial          *flight                // the one suspect that may run, nil without one
-	broken         []*flight              // whose connection broke a short time ago
+	trial          *flight   // the one suspect that may run, nil without one
+	broken         []*flight // whose connection broke a short time ago
+	possibleEnds   []possibleEnd
 	listed         beryllifetime.Lifetime // of the server in the list when it was last there
 	endChecks      int                    // checks of whether the server has ended that were asked for and are not finished
 }
--- a/io/berylrunner/serverend.go
+++ b/io/berylrunner/serverend.go
@@ -39,8 +39,9 @@
 const (
 	endDialTimeout    = time.Second
 	endSettleTime     = 250 * time.Millisecond // in which all connections to a server that ended are seen to break
-	endSettleInterval = 5 * time.Millisecond
+	endSettleInterval = 10 * time.Millisecond
 	brokenTTL         = time.Second // how long a broken connection counts as a sign of an end
+	restartTime       = time.Second // from a break until the start of a server that accepts connections right after it
 )
 
 // recordBroken records that the connection of a request broke before the answer, and checks
@@ -87,12 +88,13 @@
 		ctx, cancel := context.WithTimeout(context.Background(), endDialTimeout)
 		err := pool.Dial(ctx)
 		cancel()
+		r.awaitBroken()
+		ends := r.takeServerEnds()
 		if !errors.Is(err, syscall.ECONNREFUSED) {
-			r.dropBroken()
+			r.setPossibleEnds(ends)
 			continue
 		}
-		r.awaitBroken()
-		for _, end := range r.takeServerEnds() {
+		for _, end := range ends {
 			r.onServerEnd(end)
 		}
 	}
@@ -110,11 +112,37 @@
 	return false
 }
 
-// dropBroken forgets the broken connections: the server that they belonged to still runs.
-func (r *Runner) dropBroken() {
+// possibleEnd is the end of a server that accepts connections, so that it still runs unless it
+// has been started again at once.
+type possibleEnd struct {
+	berylserverend.ServerEnd
+	at time.Time
+}
+
+// setPossibleEnds replaces the possible ends, and forgets the broken connections.
+func (r *Runner) setPossibleEnds(ends []berylserverend.ServerEnd) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.broken = nil
+	if len(ends) == 0 {
+		return
+	}
+	r.possibleEnds = nil
+	for _, end := range ends {
+		r.possibleEnds = append(r.possibleEnds, possibleEnd{end, time.Now()})
+	}
+}
+
+// confirmEnds reports that servers ended whose connections broke when the current one started.
+// The caller holds the lock.
+func (r *Runner) confirmEnds(current beryllifetime.Lifetime) {
+	start := time.UnixMilli(current.BornMs)
+	for _, end := range r.possibleEnds {
+		if end.Lifetime != current && start.Sub(end.at).Abs() < restartTime {
+			go r.guard("server end", func() { r.onServerEnd(end.ServerEnd) })
+		}
+	}
+	r.possibleEnds = nil
 }
 
 // awaitBroken waits until the connections of all requests that were sent before the first one
--- a/io/berylrunner/serverend_test.go
+++ b/io/berylrunner/serverend_test.go
@@ -63,10 +63,11 @@
 func TestServerEnd(t *testing.T) {
 	for _, tc := range []struct {
 		name    string
-		rules   []string // of the requests, whose ids are their places
-		leaving bool     // according to the list
-		removed bool     // from the list before the end
-		cancel  bool     // cancel the requests before the end
+		rules   []string      // of the requests, whose ids are their places
+		leaving bool          // according to the list
+		removed bool          // from the list before the end
+		next    time.Duration // from the end to the start of another server at the address, 0 without one
+		cancel  bool          // cancel the requests before the end
 		end     func(t *testing.T, s *holdingServer)
 		ids     []string // of the requests that ended with the server, nil without an end
 	}{
@@ -77,6 +78,14 @@
 		}},
 		{name: "the server had announced that it is leaving", rules: []string{"a", "b"}, leaving: true, end: func(t *testing.T, s *holdingServer) { s.crash(t) }},
 		{name: "the server had been removed from the list", rules: []string{"a", "b"}, removed: true, end: func(t *testing.T, s *holdingServer) { s.crash(t) }},
+		{
+			name: "another server accepts connections at once", rules: []string{"a", "b"}, next: 10 * time.Millisecond,
+			end: func(_ *testing.T, s *holdingServer) { s.CloseClientConnections() }, ids: []string{"0", "1"},
+		},
+		{
+			name: "another server starts long after answers were lost", rules: []string{"a", "b"}, next: 5 * time.Second,
+			end: func(_ *testing.T, s *holdingServer) { s.CloseClientConnections() },
+		},
 		{name: "the requests were cancelled before", rules: []string{"a", "b"}, cancel: true, end: func(t *testing.T, s *holdingServer) { s.crash(t) }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -109,6 +118,12 @@
 			}
 			tc.end(t, s)
 			wg.Wait()
+			if tc.next != 0 {
+				time.Sleep(holdTime) // Until the list shows the other server.
+				req := newRequest(9, "lost", false)
+				req.ServerID, req.ServerStartMs = "i-2", time.Now().Add(tc.next-holdTime).UnixMilli()
+				r.Run(t.Context(), req)
+			}
 			if tc.ids == nil {
 				time.Sleep(holdTime)
 				mu.Lock()
--- a/io/berylrunner/status.go
+++ b/io/berylrunner/status.go
@@ -35,6 +35,7 @@
 	if r.lifetime == current {
 		return
 	}
+	r.confirmEnds(current)
 	r.lifetime, r.answered = current, false
 	r.status, r.malformedLimit = berylserverstatus.Status{}, ""
 	r.admission.ClearRate()
