--- a/io/berylsidecar/meter.go
+++ b/io/berylsidecar/meter.go
@@ -20,6 +20,7 @@
 	waits    *prometheus.HistogramVec
 	panics   *prometheus.CounterVec
 	lost     *prometheus.CounterVec
+	crashes  prometheus.Counter
 }
 
 const namespace = "berylspan"
@@ -49,7 +50,10 @@
 	m.lost = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "unanswered_total", Help: "Callers' requests that ended without a complete answer during a stop, by rule and what they waited for.",
 	}, []string{"rule", "wait"})
-	m.reg.MustRegister(m.requests, m.ends, m.works, m.waits, m.panics, m.lost)
+	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace, Name: "server_ends_total", Help: "Unannounced ends of the backend server beside the instance while it ran requests.",
+	})
+	m.reg.MustRegister(m.requests, m.ends, m.works, m.waits, m.panics, m.lost, m.crashes)
 	return m
 }
 
@@ -80,6 +84,13 @@
 	}))
 }
 
+// watchSuspects adds a gauge of the requests that may run in trials only.
+func (m *meter) watchSuspects(count func() int) {
+	m.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "quarantined_requests", Help: "Requests that may run in trials only, because backend servers ended while they ran them.",
+	}, func() float64 { return float64(count()) }))
+}
+
 func (m *meter) request(workspace, rule string, status int, reason string, took time.Duration) {
 	m.requests.WithLabelValues(workspace, rule).Observe(took.Seconds())
 	m.ends.WithLabelValues(rule, strconv.Itoa(status), reason).Inc()
