--- a/io/berylhttpserver/server.go
+++ b/io/berylhttpserver/server.go
@@ -12,6 +12,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -36,10 +37,15 @@
 	Limits         func() Limits
 
 	guard              func(part string, f func()) bool
+	requestID          func(h http.Header) string
+	onUnanswered       func(u Unanswered)
+	refuse             func(r *Request) *Answer
 	ln                 net.Listener
 	writers            sync.Pool
 	mu                 sync.Mutex
 	conns              map[*conn]struct{}
+	accepting          bool // Run has not returned
+	closed             bool // new connections are closed
 	keepAlivesDisabled bool // also applies to new connections
 	wg                 sync.WaitGroup
 }
@@ -52,7 +58,11 @@
 
 // New returns a server for ln. Run must be called to start it.
 func New(ln net.Listener, handle func(context.Context, *Request) *Answer, mustRunInOrder func(*Request) bool, limits func() Limits, opts ...func(*Server)) *Server {
-	s := &Server{Handle: handle, MustRunInOrder: mustRunInOrder, Limits: limits, guard: berylpanic.Unguarded, ln: ln, conns: map[*conn]struct{}{}}
+	s := &Server{
+		Handle: handle, MustRunInOrder: mustRunInOrder, Limits: limits, guard: berylpanic.Unguarded,
+		requestID: func(http.Header) string { return "" }, onUnanswered: func(Unanswered) {}, refuse: refuseUnavailable,
+		ln: ln, conns: map[*conn]struct{}{},
+	}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -74,6 +84,8 @@
 
 // Run accepts connections until the listener is closed.
 func (s *Server) Run(ctx context.Context) {
+	s.setAccepting(true)
+	defer s.setAccepting(false)
 	for {
 		nc, err := s.ln.Accept()
 		if err != nil {
@@ -83,25 +95,43 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		c := newConn(s, nc)
-		s.mu.Lock()
-		s.conns[c] = struct{}{}
-		keepAlivesDisabled := s.keepAlivesDisabled
-		s.mu.Unlock()
-		if keepAlivesDisabled {
-			c.disableKeepAlive()
+		c := newConn(ctx, s, nc)
+		if !s.start(c) {
+			c.cancel()
+			_ = nc.Close() // Nothing has been read from it.
+			return
 		}
-		s.wg.Go(func() {
-			if !s.guard(panicPart, func() { c.serve(ctx) }) {
-				c.fail()
-			}
-			s.mu.Lock()
-			delete(s.conns, c)
-			s.mu.Unlock()
-		})
 	}
 }
 
+func (s *Server) setAccepting(accepting bool) {
+	s.mu.Lock()
+	s.accepting = accepting
+	s.mu.Unlock()
+}
+
+// start serves a connection in a goroutine. It returns false if the server is closed.
+func (s *Server) start(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	if s.keepAlivesDisabled {
+		c.disableKeepAlive()
+	}
+	s.wg.Go(func() {
+		if !s.guard(panicPart, c.serve) {
+			c.abort(errPanic)
+		}
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	})
+	return true
+}
+
 // DisableKeepAlives makes the server close every connection after the next answer that
 // leaves it without a pending request.
 func (s *Server) DisableKeepAlives() {
@@ -113,35 +143,59 @@
 	}
 }
 
-// Drain stops accepting connections and reading requests. It waits until all requests
-// that were read are answered and all connections closed, but no longer than timeout.
-func (s *Server) Drain(timeout time.Duration) {
+// Drain stops accepting connections and reading requests. It waits until all requests that
+// were read are answered and all connections closed. After timeout it ends what is left and
+// waits for another answerTime at most: the context of requests that are being handled is
+// cancelled with ErrStopping as cause, requests that have not been started are refused, and
+// the answers of each connection are written in order. Answers whose bodies are being
+// streamed go on until then.
+func (s *Server) Drain(timeout, answerTime time.Duration) {
 	_ = s.ln.Close() // Fails only if it is closed already.
-	for deadline := time.Now().Add(timeout); time.Now().Before(deadline) && s.connCount() > 0; time.Sleep(drainPollInterval) {
+	s.mu.Lock()
+	s.keepAlivesDisabled = true
+	s.mu.Unlock()
+	endWork := time.Now().Add(timeout)
+	endAnswers := endWork.Add(answerTime)
+	s.pollConns(endWork, func(c *conn) {
+		c.disableKeepAlive()
+		c.stopReading()
+	})
+	s.pollConns(endAnswers, func(c *conn) {
+		c.disableKeepAlive()
+		c.stopReading()
+		c.endWork(endAnswers)
+	})
+}
+
+const drainPollInterval = 10 * time.Millisecond
+
+// pollConns calls f for each connection again and again until there are none and no more can
+// come, or until deadline.
+func (s *Server) pollConns(deadline time.Time, f func(c *conn)) {
+	for ; time.Now().Before(deadline) && !s.isDrained(); time.Sleep(drainPollInterval) {
 		s.mu.Lock()
-		s.keepAlivesDisabled = true
 		for c := range s.conns {
-			c.disableKeepAlive()
-			c.stopReading()
+			f(c)
 		}
 		s.mu.Unlock()
 	}
 }
 
-const drainPollInterval = 10 * time.Millisecond
-
-func (s *Server) connCount() int {
+func (s *Server) isDrained() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns)
+	return len(s.conns) == 0 && !s.accepting
 }
 
-// Close closes the listener and all connections, and waits until the connections are no
-// longer served.
+// Close closes the listener and all connections, cancels the requests that are not answered,
+// and waits until the connections are no longer served.
 func (s *Server) Close() {
 	_ = s.ln.Close() // Fails only if it is closed already.
 	s.mu.Lock()
+	s.closed = true
 	for c := range s.conns {
+		c.removeAllUnanswered()
+		c.cancel()
 		_ = c.nc.Close() // It may be closed already.
 	}
 	s.mu.Unlock()
