Keep connections between instances whose peer reads a streamed body late

Callers got a part of an answer and then the end of their connection, with all requests behind it on the connection lost: an answer of more than 64 KB that another instance had run was cut if its caller read slowly, or if it waited for more than 1.5 s behind a slower request of its connection. Requests with such bodies ended as "connection broken" if the backend server read slowly.

Cause: TCP_USER_TIMEOUT (1.5 s), meant for instances that are gone, also bounds how long data may wait for a closed window (tcp(7)), whether or not the peer answers the probes. It still does so when the message was written whole and lies in the socket buffer.

While a body is streamed, and until all of it is acknowledged, the option is now the write timeout (30 s), and the connection is checked every 250 ms: it is closed if data was sent into an open window and nothing of it was acknowledged for 1.5 s (TCP_INFO). So a peer that is gone is found as before, unless its window was closed when it went: then after the write timeout. Heads and whole bodies keep the option.

--- a/io/berylmesh/conn.go
+++ b/io/berylmesh/conn.go
@@ -27,6 +27,7 @@
 	onField    func(f hpack.HeaderField)
 	fieldsLeft int // bytes that the fields of the current head may still have
 	idleSince  time.Time
+	acks       *ackWatch
 }
 
 const (
@@ -44,7 +45,7 @@
 var errMalformed = errors.New("malformed message") //nolint:gochecknoglobals // Sentinel error.
 
 func newConn(nc net.Conn) *conn {
-	c := &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferSize)}
+	c := &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferSize), acks: &ackWatch{nc: nc}}
 	c.enc = hpack.NewEncoder(&c.out)
 	c.dec = hpack.NewDecoder(hpackTableSize, func(f hpack.HeaderField) {
 		if c.fieldsLeft -= len(f.Name) + len(f.Value) + fieldOverhead; c.fieldsLeft >= 0 {
@@ -84,6 +85,7 @@
 		n, err := c.nc.Write(c.out.Bytes())
 		return n == c.out.Len(), err
 	}
+	c.acks.begin()
 	binary.BigEndian.PutUint32(b[4:], chunkedBody)
 	if len(body) > 0 {
 		c.out.Write(binary.BigEndian.AppendUint32(nil, uint32(len(body)))) //nolint:gosec // At most maxWholeBody.
@@ -101,6 +103,7 @@
 // writeChunks sends r in chunks, followed by the empty chunk that ends the body. An error of
 // r is returned as a sourceError.
 func (c *conn) writeChunks(r io.Reader) error {
+	defer c.acks.end()
 	// The deadline must not fail a later message on this connection.
 	defer func() { _ = c.nc.SetWriteDeadline(time.Time{}) }() // Fails only if the connection is closed.
 	buf := make([]byte, 4+chunkSize)
--- a/io/berylmesh/mesh.go
+++ b/io/berylmesh/mesh.go
@@ -7,7 +7,6 @@
 	"net"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"berylspan/core/berylattempt"
@@ -17,8 +16,6 @@
 	"berylspan/io/berylreply"
 	"berylspan/io/berylrequest"
 	"berylspan/io/berylsocket"
-
-	"golang.org/x/sys/unix"
 )
 
 // Mesh sends requests to other instances and keeps idle connections to them for reuse.
@@ -34,7 +31,7 @@
 
 const (
 	dialTimeout        = 400 * time.Millisecond
-	tcpUserTimeout     = 1500 * time.Millisecond // unacknowledged data breaks the connection after this time
+	tcpUserTimeout     = 1500 * time.Millisecond // unacknowledged data breaks the connection after this time; see ackWatch
 	idleTimeout        = 10 * time.Second        // idle connections are closed after this time
 	maxIdlePerInstance = 64                      // idle connections
 	maxWholeBody       = 64 << 10                // bytes; longer bodies are sent in chunks
@@ -56,18 +53,6 @@
 	return m
 }
 
-// SetTCPUserTimeout makes a connection fail when the peer does not acknowledge data
-// within tcpUserTimeout. It is a Control function for net.Dialer and net.ListenConfig.
-func SetTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var err error
-	if e := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-	}); e != nil {
-		return e
-	}
-	return err
-}
-
 // get returns an idle connection that the peer has not closed, or dials a new one.
 func (m *Mesh) get(ctx context.Context, addr string) (*conn, error) {
 	now := time.Now()
