Show that a body is cut whose end comes long after its last byte

Output on this code:

--- FAIL: TestBodyWhoseEndComesLateIsCut (0.00s) stream_test.go:117: unexpected EOF --- FAIL: TestAnswerWhoseEndComesLateIsCut (0.00s) body_test.go:137: unexpected EOF

--- a/io/berylhttpserver/body_test.go
+++ b/io/berylhttpserver/body_test.go
@@ -1,10 +1,12 @@
 package berylhttpserver
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -97,3 +99,42 @@
 		s.Close()
 	})
 }
+
+// lateEnd yields a body whose end comes some time after its last byte.
+type lateEnd struct {
+	io.Reader
+	delay time.Duration
+}
+
+func (r *lateEnd) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil {
+		time.Sleep(r.delay)
+	}
+	return n, err
+}
+
+// The end of an answer was written with the deadline of its last byte.
+func TestAnswerWhoseEndComesLateIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ln := make(pipeListener)
+		s := New(ln, func(context.Context, *Request) *Answer {
+			body := &lateEnd{strings.NewReader("whole"), 2 * transferTimeout}
+			return &Answer{Status: http.StatusOK, Header: http.Header{}, Stream: io.NopCloser(body), Length: -1}
+		}, func(*Request) bool { return false }, testLimits)
+		go s.Run(context.Background())
+		client, server := net.Pipe()
+		ln <- server
+		_, err := io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+		require.NoError(t, err)
+		body, readErr := io.ReadAll(resp.Body)
+		_ = resp.Body.Close() // Fails like the read.
+		require.NoError(t, client.Close())
+		close(ln)
+		s.Close()
+		require.NoError(t, readErr)
+		require.Equal(t, "whole", string(body))
+	})
+}
--- a/io/berylmesh/stream_test.go
+++ b/io/berylmesh/stream_test.go
@@ -1,12 +1,14 @@
 package berylmesh
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
 	"net"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"berylspan/core/berylattempt"
@@ -88,6 +90,36 @@
 	require.True(t, deadlines.last.IsZero())
 }
 
+// lateEnd yields a body whose end comes some time after its last byte.
+type lateEnd struct {
+	io.Reader
+	delay time.Duration
+}
+
+func (r *lateEnd) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil {
+		time.Sleep(r.delay)
+	}
+	return n, err
+}
+
+// The end of a body was written with the deadline of its last byte.
+func TestBodyWhoseEndComesLateIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, server := net.Pipe()
+		written := make(chan error, 1)
+		go func() {
+			written <- newConn(client).writeChunks(&lateEnd{strings.NewReader("whole"), 2 * writeTimeout})
+			_ = client.Close()
+		}()
+		body, err := io.ReadAll(&chunkReader{br: bufio.NewReader(server)})
+		require.NoError(t, err)
+		require.Equal(t, "whole", string(body))
+		require.NoError(t, <-written)
+	})
+}
+
 type deadlineRecorder struct {
 	net.Conn
 	last time.Time
