Write the end of a streamed body under a deadline of its own

A streamed body whose end came more than 30 s after its last byte was cut: the caller got all bytes without the end of the body. Seen in tests only; requests of the platform end earlier than that.

Cause: the end (empty chunk) was written under the write deadline that had been set for the last chunk, in answers to callers and in messages between instances. Each write has its own deadline now.

--- a/io/berylhttpserver/write.go
+++ b/io/berylhttpserver/write.go
@@ -115,6 +115,7 @@
 			return err
 		}
 	}
+	c.setWriteTimeout() // That of the last chunk may have passed.
 	_, err := c.bw.WriteString("0\r\n\r\n")
 	return err
 }
--- a/io/berylmesh/conn.go
+++ b/io/berylmesh/conn.go
@@ -117,6 +117,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 			_, e := c.nc.Write(make([]byte, 4))
 			return e
 		}
