--- a/io/berylmesh/message.go
+++ b/io/berylmesh/message.go
@@ -21,12 +21,12 @@
 	fieldURI        = ":u"
 	fieldHost       = ":h"
 	fieldID         = ":i"
-	fieldRule       = ":r" // rule, service, flags (r: idempotent, c: nested call), rank and importance
+	fieldRule       = ":r" // rule, service, flags (r: idempotent, c: nested call, t: trial), rank and importance
 	fieldServer     = ":t" // id and start time of the backend server, and the limit that it named if any
 	fieldWorkspace  = ":w"
 	fieldCaller     = ":c"
 	fieldDeadlines  = ":d" // milliseconds left until the deadline and until the target time
-	fieldBodyLength = ":n" // length of a chunked body, if known
+	fieldBodyLength = ":n" // length of a chunked body, if known; of the body that a reply to HEAD leaves out, -1 if unknown
 	fieldStatus     = ":s"
 	fieldFailure    = ":e" // outcome, reason, retry-after in milliseconds, and id of the actual backend server
 	fieldLoad       = ":l" // busy, limit, mean service time and queue time in milliseconds
@@ -48,6 +48,9 @@
 	if req.Nested {
 		flags += "c"
 	}
+	if req.Trial {
+		flags += "t"
+	}
 	c.writeField(fieldRule, req.Rule+" "+req.Service+" "+flags+" "+strconv.Itoa(req.Rank)+" "+strconv.Itoa(req.Importance), true)
 	server := req.ServerID + " " + strconv.FormatInt(req.ServerStartMs, 10)
 	if req.ServerLimited {
@@ -116,7 +119,7 @@
 		case fieldRule:
 			v := splitWords(f.Value, 5)
 			req.Rule, req.Service, req.Rank, req.Importance = v[0], v[1], int(parseInt(v[3])), int(parseInt(v[4]))
-			req.Idempotent, req.Nested = strings.Contains(v[2], "r"), strings.Contains(v[2], "c")
+			req.Idempotent, req.Nested, req.Trial = strings.Contains(v[2], "r"), strings.Contains(v[2], "c"), strings.Contains(v[2], "t")
 		case fieldServer:
 			v := splitWords(f.Value, 3)
 			req.ServerID, req.ServerStartMs = v[0], parseInt(v[1])
@@ -153,8 +156,10 @@
 // writeReply sends the reply to req with its whole body.
 func (m *Mesh) writeReply(c *conn, req *berylrequest.Request, reply *berylreply.Reply) error {
 	c.startMessage()
-	c.writeField(fieldLoad, strconv.Itoa(reply.Busy)+" "+strconv.Itoa(reply.Limit)+" "+
-		strconv.FormatInt(reply.MeanServiceTime.Milliseconds(), 10)+" "+strconv.FormatInt(reply.QueueTime.Milliseconds(), 10), false)
+	if reply.HasLoad {
+		c.writeField(fieldLoad, strconv.Itoa(reply.Busy)+" "+strconv.Itoa(reply.Limit)+" "+
+			strconv.FormatInt(reply.MeanServiceTime.Milliseconds(), 10)+" "+strconv.FormatInt(reply.QueueTime.Milliseconds(), 10), false)
+	}
 	if reply.Outcome != berylattempt.Answered {
 		c.writeField(fieldFailure, reply.Outcome.String()+" "+reply.Reason+" "+strconv.FormatInt(reply.RetryAfter.Milliseconds(), 10)+" "+reply.ActualServerID, false)
 		_, err := c.writeMessage(nil, true)
@@ -170,6 +175,9 @@
 		}
 	}
 	if reply.Stream == nil && len(reply.Body) <= maxWholeBody {
+		if len(reply.Body) == 0 && reply.Length != 0 {
+			c.writeField(fieldBodyLength, strconv.FormatInt(reply.Length, 10), false)
+		}
 		_, err := c.writeMessage(reply.Body, true)
 		return err
 	}
@@ -190,6 +198,7 @@
 // Stream, to be read from the connection.
 func (m *Mesh) readReply(c *conn, requestID string) (*berylreply.Reply, error) {
 	reply := &berylreply.Reply{Outcome: berylattempt.Answered, Header: http.Header{}, Length: -1}
+	lengthTold := false
 	bodyLength, err := c.readHead(func(f hpack.HeaderField) {
 		switch f.Name {
 		case fieldStatus:
@@ -202,7 +211,7 @@
 			reply.Busy, reply.Limit, reply.MeanServiceTime = int(parseInt(v[0])), int(parseInt(v[1])), parseMillis(v[2])
 			reply.QueueTime, reply.HasLoad = parseMillis(v[3]), true
 		case fieldBodyLength:
-			reply.Length = parseInt(f.Value)
+			reply.Length, lengthTold = parseInt(f.Value), true
 		default:
 			v := f.Value
 			if f.Name == m.names.RequestID && v == "" {
@@ -220,7 +229,9 @@
 		reply.Stream = io.NopCloser(&chunkReader{br: c.br})
 		return reply, nil
 	}
-	reply.Length = int64(bodyLength)
+	if bodyLength > 0 || !lengthTold {
+		reply.Length = int64(bodyLength)
+	}
 	reply.Body, err = c.readBody(bodyLength)
 	return reply, err
 }
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -22,6 +22,7 @@
 	"berylspan/io/berylpanic"
 	"berylspan/io/berylreply"
 	"berylspan/io/berylrequest"
+	"berylspan/io/berylserverend"
 )
 
 // Runner runs requests on the local backend server. It is safe for concurrent use.
@@ -31,6 +32,9 @@
 	onRequestEnd   func(req *berylrequest.Request, queueTime time.Duration, reply *berylreply.Reply)
 	guard          func(part string, f func()) bool
 	onServerStatus func(serverID string, status berylserverstatus.Status, err error)
+	onServerEnd    func(berylserverend.ServerEnd)
+	onAnswered     func(req *berylrequest.Request)
+	checkSuspect   func(req *berylrequest.Request) (suspect bool, wait time.Duration)
 
 	mu             sync.Mutex
 	pool           *berylconnpool.Pool
@@ -49,6 +53,12 @@
 	answered       bool                     // whether the server has answered this daemon in that lifetime
 	status         berylserverstatus.Status // what the server last said about itself
 	malformedLimit string                   // last limit that could not be read
+	flights        map[*flight]struct{}
+	trial          *flight   // the one suspect that may run, nil without one
+	broken         []*flight // whose connection broke a short time ago
+	possibleEnds   []possibleEnd
+	listed         beryllifetime.Lifetime // of the server in the list when it was last there
+	endChecks      int                    // checks of whether the server has ended that were asked for and are not finished
 }
 
 // waiter is a request that waits for a slot.
@@ -83,6 +93,10 @@
 		onRequestEnd:   func(*berylrequest.Request, time.Duration, *berylreply.Reply) {},
 		guard:          berylpanic.Unguarded,
 		onServerStatus: func(string, berylserverstatus.Status, error) {},
+		onServerEnd:    func(berylserverend.ServerEnd) {},
+		onAnswered:     func(*berylrequest.Request) {},
+		checkSuspect:   func(*berylrequest.Request) (bool, time.Duration) { return false, 0 },
+		flights:        map[*flight]struct{}{},
 		admission:      beryladmission.New[*waiter](initialLimit),
 		callGraph:      berylcallgraph.New(),
 		limiter:        berylinflight.New(),
@@ -178,6 +192,9 @@
 	if r.shuttingDown {
 		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonShuttingDown)
 	}
+	if known {
+		r.listed = entry.Lifetime()
+	}
 	r.trackLifetime(r.newestLifetime(entry, known, req))
 	if known && (entry.Service != req.Service || (entry.ID != req.ServerID && entry.Born >= req.ServerStartMs)) {
 		reply := berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonWrongServer)
@@ -293,8 +310,13 @@
 
 func (r *Runner) send(ctx context.Context, req *berylrequest.Request, admissionRequest beryladmission.Request) *berylreply.Reply {
 	start := time.Now()
+	f := &flight{req: req, start: start}
+	if reply := r.checkQuarantine(f); reply != nil {
+		r.releaseSlot(admissionRequest, 0, false)
+		return reply
+	}
 	onDone := sync.OnceFunc(func() {
-		r.recordDone(req.Rule)
+		r.recordDone(f)
 		r.releaseSlot(admissionRequest, time.Since(start), ctx.Err() == nil)
 	})
 	returned := false
@@ -303,7 +325,7 @@
 			onDone()
 		}
 	}()
-	pool, sentTo := r.recordStart(start, req)
+	pool := r.recordStart(f)
 	h := req.Header.Clone()
 	h.Set(r.names.TimeLeft, strconv.FormatInt(max(1, req.Deadline.Sub(start).Milliseconds()), 10))
 	h.Set(r.names.RequestID, req.ID)
@@ -313,7 +335,8 @@
 	reply := pool.Send(ctx, &berylconnpool.Request{
 		Method: req.Method, URI: req.URI, Host: req.Host, ID: req.ID, Header: h,
 		Body: req.Body, Stream: req.Stream, Length: req.Length, NonIdempotent: !req.Idempotent,
-		OnHeader: func(h http.Header) { r.recordHeader(sentTo, h) },
+		OnHeader: func(h http.Header) { r.recordHeader(f, h) },
+		OnBroken: func() { r.recordBroken(f) }, OnAnswered: func() { r.onAnswered(req) },
 	}, onDone)
 	if !req.Nested {
 		r.recordEnd(ctx, req, reply)
@@ -322,26 +345,30 @@
 	return reply
 }
 
-// recordStart records that a request starts. It returns the pool to send it with and the
-// lifetime of the backend server that it is sent to.
-func (r *Runner) recordStart(now time.Time, req *berylrequest.Request) (*berylconnpool.Pool, beryllifetime.Lifetime) {
+// recordStart records that a request starts and sets the lifetime of the backend server that
+// it is sent to. It returns the pool to send it with.
+func (r *Runner) recordStart(f *flight) *berylconnpool.Pool {
+	req := f.req
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.callGraph.RequestStarted(now, req.Rule)
+	r.callGraph.RequestStarted(f.start, req.Rule)
 	if !req.Nested {
-		r.limiter.Begin(now, req.Rule, req.Importance, req.TargetTime.Sub(now))
+		r.limiter.Begin(f.start, req.Rule, req.Importance, req.TargetTime.Sub(f.start))
 	}
 	r.running[req.Rule]++
 	r.ranks[req.Rule] = req.Rank
-	return r.pool, r.lifetime
+	f.lifetime = r.lifetime
+	r.flights[f] = struct{}{}
+	return r.pool
 }
 
 // recordDone records that the backend server has finished with a request.
-func (r *Runner) recordDone(rule string) {
+func (r *Runner) recordDone(f *flight) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.callGraph.RequestEnded(time.Now(), rule)
-	r.running[rule]--
+	r.callGraph.RequestEnded(time.Now(), f.req.Rule)
+	r.running[f.req.Rule]--
+	r.removeFlight(f)
 }
 
 func setOrDelete(h http.Header, name, value string) {
