Recognize a reset that the writer of a request body saw

What callers saw: a request whose body was still being sent got a success with a part of the body, complete by its framing, when the backend server answered without a length and its connection was reset.

Cause: the system reports a reset of a connection once. If the write of the request body got it, the next read ended like that of a connection that the server had closed, which is the end of an answer without a length.

At the end of such an answer the pool now ends a write in progress and looks whether a write has failed for another reason than that. If so, the answer is incomplete. Answers with a length or in chunks are complete by themselves.

The count of bytes in TestCutAnswerIsNeverComplete is atomic now, for the detector.

--- a/io/berylconnpool/cut_test.go
+++ b/io/berylconnpool/cut_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,10 +60,11 @@
 	} {
 		for _, reset := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s/reset %v", tc.name, reset), func(t *testing.T) {
-				n := 0
-				p := startCuttingServer(t, tc.answer, func() (int, bool) { return n, reset })
+				var sent atomic.Int64 // bytes that the server sends
+				p := startCuttingServer(t, tc.answer, func() (int, bool) { return int(sent.Load()), reset })
 				headEnd := strings.LastIndex(tc.answer, "\r\n\r\n") + len("\r\n\r\n")
-				for ; n < len(tc.answer); n++ {
+				for n := range len(tc.answer) {
+					sent.Store(int64(n))
 					done := 0
 					reply := p.Send(context.Background(), &Request{Method: tc.method, URI: "/", Host: "h", ID: "1", Header: http.Header{}}, func() { done++ })
 					require.Equal(t, 1, done)
@@ -74,6 +76,7 @@
 				if reset {
 					return // A reset may overtake the end of the answer.
 				}
+				sent.Store(int64(len(tc.answer)))
 				reply := p.Send(context.Background(), &Request{Method: tc.method, URI: "/", Host: "h", ID: "1", Header: http.Header{}}, func() {})
 				require.Equal(t, berylattempt.Answered, reply.Outcome, "the whole answer")
 			})
--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -5,8 +5,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"berylspan/core/berylattempt"
@@ -65,6 +67,8 @@
 	stopClosing func() bool // stops the closing of the connection on cancellation, false if too late
 	onDone      func()
 	bodyWritten chan error // result of writing a streamed body, nil without one
+	writeMu     sync.Mutex // held while a part of a streamed body is written
+	writeErr    error      // of the connection, when the body was written; guarded by writeMu
 	reuse       bool       // whether the connection can be reused after the answer
 	singleUse   bool       // the connection must not be reused, whatever the answer
 }
@@ -163,10 +167,19 @@
 // writeBody writes Body and Stream, flushing each part as it becomes available.
 func (e *exchange) writeBody(chunked bool) error {
 	w := e.conn.bw
+	flush := func() error {
+		err := w.Flush()
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			e.writeErr = err
+		}
+		return err
+	}
 	writePart := func(p []byte) error {
 		if len(p) == 0 {
 			return nil
 		}
+		e.writeMu.Lock()
+		defer e.writeMu.Unlock()
 		if chunked {
 			_, _ = w.WriteString(strconv.FormatInt(int64(len(p)), 16) + "\r\n")
 		}
@@ -174,7 +187,7 @@
 		if chunked {
 			_, _ = w.WriteString("\r\n")
 		}
-		return w.Flush()
+		return flush()
 	}
 	if err := writePart(e.request.Body); err != nil {
 		return err
@@ -194,10 +207,12 @@
 			return err
 		}
 	}
+	e.writeMu.Lock()
+	defer e.writeMu.Unlock()
 	if chunked {
 		_, _ = w.WriteString("0\r\n\r\n")
 	}
-	return w.Flush()
+	return flush()
 }
 
 var (
@@ -306,6 +321,9 @@
 		e.reuse = false
 		return e.fail(ctx, berylreply.ReasonMalformed)
 	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody && e.bodyWritten != nil {
+		resp.Body = &unframedBody{ReadCloser: resp.Body, broken: e.writerSawError}
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer))
 	if err != nil {
 		e.reuse = false
@@ -329,6 +347,32 @@
 	return reply
 }
 
+// writerSawError reports whether the connection failed while the request body was written. It
+// ends the writing.
+func (e *exchange) writerSawError() bool {
+	_ = e.conn.nc.SetWriteDeadline(time.Now()) // Ends a write in progress; fails only if the connection is closed.
+	e.writeMu.Lock()
+	defer e.writeMu.Unlock()
+	return e.writeErr != nil
+}
+
+// unframedBody reads a body that ends with the connection, while the request body is written.
+// The system reports a reset once, to a write or to a read. After a write has got it, the read
+// ends as if the server had closed the connection.
+type unframedBody struct {
+	io.ReadCloser
+	broken func() bool
+}
+
+// Read returns io.ErrUnexpectedEOF at the end of a connection that was broken.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && b.broken() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // recordReuse records whether the connection can be reused, and its idle timeout if the
 // server announces one.
 func (e *exchange) recordReuse(resp *http.Response) {
