Tell reset connections from closed ones in the Connect mode

What callers saw (settings with http1): a unary call got a success with a part of the message when the backend server answered without a length and its connection was reset while the end of the request was written.

Cause: as in the plain HTTP path, the system reports a reset once. net/http writes the request and reads the answer at the same time; after the write has got the reset, the read ends like that of a connection that the server closed.

The connections of HTTP/1.1 clients now remember that a write has failed, and a read that ends then is an unexpected end. The connection of the plain HTTP path has the same check in its pool.

--- a/io/berylrelay/cut_test.go
+++ b/io/berylrelay/cut_test.go
@@ -69,7 +69,7 @@
 				switch {
 				case tc.streaming:
 					last = strings.LastIndex(tc.answer, end) + len(end) // This message tells that the stream is complete.
-				case tc.endsWithConn: // See TestResetAnswerWithoutLengthIsComplete.
+				case tc.endsWithConn && !reset:
 					last = strings.Index(tc.answer, "\r\n\r\n") + len("\r\n\r\n") // Nothing tells a cut body from a complete one.
 				}
 				for n := range last {
--- a/io/beryltransport/transport.go
+++ b/io/beryltransport/transport.go
@@ -47,7 +47,7 @@
 
 // HTTP1 returns a client that speaks HTTP/1.1 in plaintext. It does not follow redirects.
 func HTTP1(dial Dial) *http.Client {
-	t := newTransport(dial, nil)
+	t := newTransport(detectResets(dial), nil)
 	t.Protocols.SetHTTP1(true)
 	t.MaxIdleConnsPerHost = 64
 	return &http.Client{Transport: t, CheckRedirect: refuseRedirect}
