Keep the header timeout of a request while an answer is written

What callers saw: on a connection with pipelined requests, one whose header stopped arriving got its 408 only after the idle timeout (15 s instead of 3 s, say), or, with an idle timeout below the header timeout, too soon. In a stop it held its connection open until the end.

Cause: the writer of an answer sets the idle timeout if no request is pending, and a request whose header is arriving isn't pending.

Evidence: TestHeaderTimeoutIsReplacedByIdleTimeout failed 5 of 5 before.

Change: it looks whether a request is arriving, too.

--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -147,11 +147,11 @@
 	}
 }
 
-// setIdleTimeout starts the idle timeout if no request is pending.
+// setIdleTimeout starts the idle timeout if no request is pending or arriving.
 func (c *conn) setIdleTimeout() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.pending) == 0 && !c.readingStopped && !c.ended {
+	if len(c.pending) == 0 && !c.arriving && !c.readingStopped && !c.ended {
 		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout))
 	}
 }
