Give all signals one owner from the start to the exit

An instance that got SIGHUP while it started ended, and so did `serve` at any time.

Cause: signal handling was spread over the program. The app received SIGINT and SIGTERM; `sidecar` received SIGHUP only between its start and its stop, and called signal.Stop when the stop began; `serve` never received it. Whenever nobody received SIGHUP, its default action ended the process.

Now berylsignals receives them from the first line of main until the process exits. It knows whether the process starts, serves or stops, and logs every signal with that state and what it does. SIGHUP reloads the settings of `sidecar` and does nothing else; while the process stops, and for `serve`, it does nothing. A second SIGTERM or SIGINT goes on doing nothing. A series of SIGHUP displaces no SIGTERM, as both have channels of their own. Commands that are no daemons end by SIGHUP as before, unless it was ignored since their start (nohup). SIGQUIT and SIGABRT keep their default action, a dump.

--- a/io/berylapp/app.go
+++ b/io/berylapp/app.go
@@ -7,17 +7,18 @@
 	"flag"
 	"fmt"
 	"io"
-	"os/signal"
-	"syscall"
+	"os"
 
 	"berylspan/io/beryldemo"
+	"berylspan/io/berylsignals"
 )
 
 // App runs one subcommand.
 type App struct {
 	out      io.Writer
 	err      io.Writer
-	sidecar  func(ctx context.Context, out io.Writer) int
+	signals  *berylsignals.Signals
+	sidecar  func(signals *berylsignals.Signals, out io.Writer) int
 	demoHTTP func(ctx context.Context, opt beryldemo.Options) (violations int, err error)
 }
 
@@ -30,17 +31,21 @@
 	Violated = 4 // an invariant was violated
 )
 
-// New returns an app that writes results to out and the rest to err.
+// New returns an app that writes results to out and the rest to err. Without Signals it
+// receives no signals.
 func New(out, err io.Writer, opts ...func(*App)) *App {
-	a := &App{out: out, err: err}
+	a := &App{out: out, err: err, signals: berylsignals.New(berylsignals.Notify(func(chan<- os.Signal, ...os.Signal) {}))}
 	for _, o := range opts {
 		o(a)
 	}
 	return a
 }
 
+// Signals sets the signals of the process.
+func Signals(s *berylsignals.Signals) func(*App) { return func(a *App) { a.signals = s } }
+
 // Sidecar sets what the sidecar command runs.
-func Sidecar(run func(ctx context.Context, out io.Writer) int) func(*App) {
+func Sidecar(run func(signals *berylsignals.Signals, out io.Writer) int) func(*App) {
 	return func(a *App) { a.sidecar = run }
 }
 
@@ -50,42 +55,44 @@
 }
 
 type command struct {
-	name string
-	text string
-	run  func(a *App, ctx context.Context, args []string) int
+	name   string
+	text   string
+	daemon bool
+	run    func(a *App, ctx context.Context, args []string) int
 }
 
 func commands() []command {
 	return []command{
-		{"serve", "run the daemon beside a backend server", (*App).serve},
-		{"sidecar", "run the daemon beside a plain HTTP backend server, on the platform's settings", (*App).runSidecar},
-		{"check", "validate the two lists offline", (*App).check},
-		{"explain", "ask a daemon what is in force and why calls were refused", (*App).explain},
-		{"demo", "run and measure the main job on embedded stand-ins", (*App).demo},
-		{"version", "print the version", (*App).version},
+		{"serve", "run the daemon beside a backend server", true, (*App).serve},
+		{"sidecar", "run the daemon beside a plain HTTP backend server, on the platform's settings", true, (*App).runSidecar},
+		{"check", "validate the two lists offline", false, (*App).check},
+		{"explain", "ask a daemon what is in force and why calls were refused", false, (*App).explain},
+		{"demo", "run and measure the main job on embedded stand-ins", false, (*App).demo},
+		{"version", "print the version", false, (*App).version},
 	}
 }
 
-func (a *App) runSidecar(ctx context.Context, args []string) int {
+func (a *App) runSidecar(_ context.Context, args []string) int {
 	if len(args) > 0 || a.sidecar == nil {
 		a.complain("usage: berylspan sidecar")
 		return Usage
 	}
-	return a.sidecar(ctx, a.out)
+	return a.sidecar(a.signals, a.out)
 }
 
-// Run runs the subcommand that args names and returns the exit code. SIGINT and
-// SIGTERM end its context.
+// Run runs the subcommand that args names and returns the exit code. SIGINT and SIGTERM end
+// its context, and SIGHUP that of a subcommand that is no daemon.
 func (a *App) Run(args []string) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
 	if len(args) == 0 {
 		a.usage()
 		return Usage
 	}
 	for _, c := range commands() {
 		if c.name == args[0] {
-			return c.run(a, ctx, args[1:])
+			if !c.daemon {
+				a.signals.EndOnHangup()
+			}
+			return c.run(a, a.signals.Context(), args[1:])
 		}
 	}
 	if args[0] == "help" || args[0] == "-h" || args[0] == "--help" {
--- a/io/berylapp/commands.go
+++ b/io/berylapp/commands.go
@@ -39,6 +39,7 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	log := a.logger(set)
+	a.signals.Daemon(log)
 	d, err := beryldaemon.New(set, log)
 	if err != nil {
 		a.complain("%v", err)
@@ -49,10 +50,12 @@
 		d.Kill()
 		return Failed
 	}
+	a.signals.Serving()
 	code := OK
 	select {
 	case <-ctx.Done():
 	case <-d.Failed():
+		a.signals.Stopping()
 		log.Error().Msg("stopping after a panic in a part that holds control state")
 		code = Failed
 	}
