Keep a daemon running when what reads its log ends

Callers lost all requests under way when the reader of an instance's log ended, as a log collector does that is restarted.

Cause: a write to a closed standard output or standard error raises SIGPIPE, and os.File then ends the process by its default action unless the program ignores or receives the signal. `sidecar` writes a line for every request; `serve` writes its first line after hours at the stop, and then lost the calls that the stop was to finish.

Daemons now ignore SIGPIPE, so that the write fails and the line is lost. Other commands keep it: `check | head` ends quietly.

--- a/io/berylapp/app.go
+++ b/io/berylapp/app.go
@@ -34,13 +34,17 @@
 // New returns an app that writes results to out and the rest to err. Without Signals it
 // receives no signals.
 func New(out, err io.Writer, opts ...func(*App)) *App {
-	a := &App{out: out, err: err, signals: berylsignals.New(berylsignals.Notify(func(chan<- os.Signal, ...os.Signal) {}))}
+	a := &App{out: out, err: err, signals: noSignals()}
 	for _, o := range opts {
 		o(a)
 	}
 	return a
 }
 
+func noSignals() *berylsignals.Signals {
+	return berylsignals.New(berylsignals.Handlers(func(chan<- os.Signal, ...os.Signal) {}, func(...os.Signal) {}))
+}
+
 // Signals sets the signals of the process.
 func Signals(s *berylsignals.Signals) func(*App) { return func(a *App) { a.signals = s } }
 
--- a/io/berylsignals/signals.go
+++ b/io/berylsignals/signals.go
@@ -17,6 +17,7 @@
 // their default action. It is safe for concurrent use.
 type Signals struct {
 	notify        func(c chan<- os.Signal, sig ...os.Signal)
+	ignore        func(sig ...os.Signal)
 	hangupIgnored bool // since before the start of the process, as with nohup
 	ctx           context.Context
 	cancel        context.CancelFunc
@@ -60,15 +61,17 @@
 	maxUnlogged  = 32 // events before Daemon
 )
 
-// Notify sets the function that delivers signals, signal.Notify by default.
-func Notify(notify func(c chan<- os.Signal, sig ...os.Signal)) func(*Signals) {
-	return func(s *Signals) { s.notify = notify }
+// Handlers sets the functions that have signals delivered and ignored, signal.Notify and
+// signal.Ignore by default.
+func Handlers(notify func(c chan<- os.Signal, sig ...os.Signal), ignore func(sig ...os.Signal)) func(*Signals) {
+	return func(s *Signals) { s.notify, s.ignore = notify, ignore }
 }
 
 // New begins to receive signals.
 func New(opts ...func(*Signals)) *Signals {
 	s := &Signals{
 		notify:        signal.Notify,
+		ignore:        signal.Ignore,
 		hangupIgnored: signal.Ignored(syscall.SIGHUP),
 		reloads:       make(chan struct{}, 1),
 		// Separate channels, so that a series of others never displaces a stop.
@@ -112,10 +115,13 @@
 }
 
 // Daemon writes a log line for every signal, those received before included. Signals that ask
-// a daemon for nothing are received too.
+// a daemon for nothing are received too, and SIGPIPE is ignored. Commands that are no daemons end by it
+// when their output is closed.
 func (s *Signals) Daemon(log zerolog.Logger) {
 	s.notify(s.others, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGALRM, syscall.SIGVTALRM, syscall.SIGXCPU,
 		syscall.SIGXFSZ, syscall.SIGIO, syscall.SIGPWR, syscall.SIGCONT)
+	// Otherwise a log line that nobody reads any more would end the process.
+	s.ignore(syscall.SIGPIPE)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.log = &log
--- a/io/berylsignals/signals_test.go
+++ b/io/berylsignals/signals_test.go
@@ -43,7 +43,7 @@
 
 func newProcess() (*process, *Signals) {
 	p := &process{chans: map[os.Signal]chan<- os.Signal{}}
-	return p, New(Notify(p.notify))
+	return p, New(Handlers(p.notify, func(...os.Signal) {}))
 }
 
 // send delivers a signal and waits for its log line.
