End the process although nothing reads its log

An instance whose log was not read answered all requests of a stop, and then did not end within its grace, so that the platform had to kill it.

Cause: Close of the log writer waited without a bound for the goroutine that was blocked in its write. It waits 0.3 s now. Closing no longer waits for the rest of the interval in which lines are gathered either.

--- a/io/beryllog/writer.go
+++ b/io/beryllog/writer.go
@@ -13,9 +13,10 @@
 // slow or lines exceed the rate limit, lines are dropped and counted. It is safe for
 // concurrent use.
 type Writer struct {
-	out  io.Writer
-	wake chan struct{}
-	done chan struct{}
+	out     io.Writer
+	wake    chan struct{}
+	closing chan struct{}
+	done    chan struct{}
 
 	mu         sync.Mutex
 	buf        bytes.Buffer
@@ -30,11 +31,12 @@
 	linesPerSecond = 400       // sustained rate; keeps the log of a busy daemon under 10 MB per minute
 	burstLines     = 2000
 	flushInterval  = 250 * time.Millisecond // lines of this time are written together
+	closeTimeout   = 300 * time.Millisecond // for an output that takes nothing
 )
 
 // New returns a writer to out. Close must be called to flush it.
 func New(out io.Writer) *Writer {
-	w := &Writer{out: out, wake: make(chan struct{}, 1), done: make(chan struct{}), tokens: burstLines, refilledAt: time.Now()}
+	w := &Writer{out: out, wake: make(chan struct{}, 1), closing: make(chan struct{}), done: make(chan struct{}), tokens: burstLines, refilledAt: time.Now()}
 	go w.run()
 	return w
 }
@@ -69,17 +71,18 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	for range w.wake {
-		w.mu.Lock()
-		closed := w.closed
-		w.mu.Unlock()
-		if !closed {
-			time.Sleep(flushInterval)
-		}
-		w.flush()
-		if closed {
+	for {
+		select {
+		case <-w.wake:
+		case <-w.closing:
+			w.flush()
 			return
 		}
+		select {
+		case <-time.After(flushInterval):
+		case <-w.closing:
+		}
+		w.flush()
 	}
 }
 
@@ -99,11 +102,16 @@
 	}
 }
 
-// Close writes the buffered lines and stops the goroutine. Later lines are dropped.
+// Close writes the buffered lines and stops the goroutine. It gives up when the output takes
+// no more lines, so that the process ends although nothing reads its log.
+// Later lines are dropped. Close must be called only once.
 func (w *Writer) Close() {
 	w.mu.Lock()
 	w.closed = true
 	w.mu.Unlock()
-	w.signal()
-	<-w.done
+	close(w.closing)
+	select {
+	case <-w.done:
+	case <-time.After(closeTimeout):
+	}
 }
