Write the log of the Connect mode without waiting for its reader

A daemon of the Connect mode whose log was not read never listened for callers, as it waited to write "ready". At a stop it would have waited to write "leaving" and been killed with its calls.

Cause: `serve` wrote its log lines straight to standard error, on the goroutine that does the work. It uses the log writer of `sidecar` now, which drops and counts lines rather than wait.

--- a/io/berylapp/commands.go
+++ b/io/berylapp/commands.go
@@ -17,6 +17,7 @@
 	"berylspan/core/berylconfig"
 	"berylspan/io/beryldaemon"
 	"berylspan/io/beryldemo"
+	"berylspan/io/beryllog"
 	"berylspan/io/berylsettings"
 
 	"github.com/rs/zerolog"
@@ -38,7 +39,9 @@
 		return Findings
 	}
 	debug.SetGCPercent(gcPercent)
-	log := a.logger(set)
+	out := beryllog.New(a.err)
+	defer out.Close()
+	log := logger(out, set)
 	a.signals.Daemon(log)
 	d, err := beryldaemon.New(set, log)
 	if err != nil {
@@ -69,10 +72,9 @@
 	return code
 }
 
-func (a *App) logger(set berylsettings.Settings) zerolog.Logger {
-	w := a.err
+func logger(w io.Writer, set berylsettings.Settings) zerolog.Logger {
 	if set.Format == "text" {
-		w = zerolog.ConsoleWriter{Out: a.err, TimeFormat: time.RFC3339}
+		w = zerolog.ConsoleWriter{Out: w, TimeFormat: time.RFC3339}
 	}
 	level, err := zerolog.ParseLevel(set.Level)
 	if err != nil {
