Show that a stop during the start of serve is told as a failure

SIGTERM comes while the daemon waits for a configuration. Output on the current code:

--- FAIL: TestSIGTERMDuringStartOfServeIsToldAsFailure (1.68s) Error: Not equal: expected: "exit status 0" actual : "exit status 1"

--- a/io/berylapp/signal_test.go
+++ b/io/berylapp/signal_test.go
@@ -153,3 +153,14 @@
 	require.Empty(t, results())
 	p.ended(t)
 }
+
+// Guards against a planned stop that looks like a failure because it came early.
+func TestSIGTERMDuringStartOfServeIsToldAsFailure(t *testing.T) {
+	s := newSite(t, 1000, quick)
+	s.platform.Down(true)
+	p := s.nodes[0]
+	s.launch(p)
+	s.until("it listens", func() bool { return s.explain(p, "/explain").status != 0 })
+	p.signal(syscall.SIGTERM)
+	p.ended(t)
+}
