End serve with code 0 when SIGTERM comes before it serves

Supervisors saw a planned stop as a failure (exit code 1, "not started") when it came while the daemon waited for a configuration. It also ended at once then, although it already serves calls that other daemons forward.

Cause: Start returned the error of its context, which was taken for a fault. Such a start is now followed by the usual stop.

That calls of other daemons were cut off was not shown by a test.

--- a/io/berylapp/commands.go
+++ b/io/berylapp/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -48,7 +49,7 @@
 		a.complain("%v", err)
 		return Findings
 	}
-	if err := d.Start(ctx); err != nil {
+	if err := d.Start(ctx); err != nil && !errors.Is(err, context.Canceled) {
 		log.Error().Err(err).Msg("not started")
 		d.Kill()
 		return Failed
--- a/io/beryldaemon/daemon.go
+++ b/io/beryldaemon/daemon.go
@@ -199,7 +199,8 @@
 }
 
 // Start listens on the peers' and local addresses, and on the callers' one once
-// a configuration is known or ctx has ended.
+// a configuration is known. When ctx ends first, it returns the error of ctx; the daemon is to be
+// stopped then, too, as it serves other daemons already.
 func (d *Daemon) Start(ctx context.Context) error {
 	rpc := berylwire.NewControlServer(&service{control: d.control, owner: d.owner})
 	if err := d.listen(d.set.Peers, d.peer.Handler(rpc.PathPrefix(), rpc), d.secure.Peers()); err != nil {
