Close the local listener last in a stop of the Connect mode

Callers saw calls fail with "unavailable: connection refused" that had been accepted and whose work had begun, when the instance that ran them for another one was stopped.

Cause: Stop closed the listeners in the order callers, local, peers, each after its own requests had ended. Calls that other daemons forward come by the peers' listener. They still ran at the backend server when the local listener was closed at once, as nothing was under way on it, and the nested calls that they made later found no listener. A call accepted on the callers' listener had no such fault, as that listener is stopped first.

Now the order is callers, peers, local: nested calls are made only by calls that came by the first two, and these have ended when the local listener is closed. No request on the local listener needs the peers' listener of its own daemon: the shards have been given up by then.

--- a/io/beryldaemon/daemon.go
+++ b/io/beryldaemon/daemon.go
@@ -66,8 +66,8 @@
 	entry   *berylingress.Ingress
 	local   *berylegress.Egress
 
-	idle    []func() // closes connections that are not in use
-	servers []*berylserver.Server
+	idle    []func()              // closes connections that are not in use
+	servers []*berylserver.Server // local, peers, callers
 	loops   sync.WaitGroup
 	cancel  context.CancelFunc
 	panics  *berylpanic.Guard
@@ -198,15 +198,15 @@
 	d.local = berylegress.New(d.control.State, d.policy, d.tokens, dispatch.Send, repeats.Run)
 }
 
-// Start listens on the peers' and local addresses, and on the callers' one once
+// Start listens on the local and peers' addresses, and on the callers' one once
 // a configuration is known. When ctx ends first, it returns the error of ctx; the daemon is to be
 // stopped then, too, as it serves other daemons already.
 func (d *Daemon) Start(ctx context.Context) error {
 	rpc := berylwire.NewControlServer(&service{control: d.control, owner: d.owner})
-	if err := d.listen(d.set.Peers, d.peer.Handler(rpc.PathPrefix(), rpc), d.secure.Peers()); err != nil {
+	if err := d.listen(d.set.Local, d.localHandler(), nil); err != nil {
 		return err
 	}
-	if err := d.listen(d.set.Local, d.localHandler(), nil); err != nil {
+	if err := d.listen(d.set.Peers, d.peer.Handler(rpc.PathPrefix(), rpc), d.secure.Peers()); err != nil {
 		return err
 	}
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -255,7 +255,7 @@
 	berylclock.Sleep(ctx, leaveNotice)
 	d.backend.Leave()
 	var err error
-	// Callers first: their calls may still need the other listeners.
+	// The local listener last: calls of callers and of other daemons may still make nested calls.
 	for i := len(d.servers) - 1; i >= 0; i-- {
 		if e := d.servers[i].Stop(ctx); e != nil && err == nil {
 			err = e
@@ -297,5 +297,5 @@
 
 // Addresses returns the addresses of the callers', peers' and local listener.
 func (d *Daemon) Addresses() (callers, peers, local string) {
-	return d.servers[2].Addr(), d.servers[0].Addr(), d.servers[1].Addr()
+	return d.servers[2].Addr(), d.servers[1].Addr(), d.servers[0].Addr()
 }
