Show that calls still running at the end of a stop get no answer

Calls of 7 s and a stream of 10 s run when the time for a stop of 2 s is over. They may have run, so callers are to be told "unknown" and why. Output on the current code:

--- FAIL: TestCallsRunningAtTheEndOfTheStopGetNoAnswer (10.92s) --- FAIL: .../Connect_at_the_instance_itself (3.65s) expected: "unknown" actual: "" unavailable: http2: server sent GOAWAY and closed the connection; LastStreamID=7 --- FAIL: .../Connect_forwarded_by_another_instance (3.65s) expected: "leaving" actual: "backend" unavailable: unknown: no answer came: http2: server sent GOAWAY and closed the connection; LastStreamID=15 --- FAIL: .../gRPC_at_the_instance_itself (3.63s) expected: "unknown" actual: "" --- FAIL: TestStreamRunningAtTheEndOfTheStopGetsNoEnd (3.63s) expected: "unknown" actual: "" internal: protocol error: incomplete envelope: http2: server sent GOAWAY and closed the connection; LastStreamID=5

--- a/io/beryldaemon/stop_test.go
+++ b/io/beryldaemon/stop_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strings"
 	"testing"
 	"time"
 
+	"berylspan/core/berylinvariant"
 	"berylspan/core/berylrefusal"
 	"berylspan/io/berylfakebackend"
+	"berylspan/io/berylframe"
 	"berylspan/io/berylheader"
 
 	"connectrpc.com/connect"
@@ -120,3 +123,76 @@
 	require.NoError(t, <-end)
 	require.Equal(t, begun, f.begun())
 }
+
+// Guards against calls that get no answer when the time for a stop is over. They may have run.
+func TestCallsRunningAtTheEndOfTheStopGetNoAnswer(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		path    string
+		forward bool
+		opts    []connect.ClientOption
+	}{
+		{"Connect at the instance itself", "/p.S/Put", false, nil},
+		{"Connect forwarded by another instance", "/p.S/Put", true, nil},
+		{"gRPC at the instance itself", "/p.S/Put", false, []connect.ClientOption{connect.WithGRPC()}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t, nil, func(path string) berylfakebackend.Work {
+				if path == "/p.S/Put" {
+					return berylfakebackend.Work{Time: 7 * time.Second}
+				}
+				return berylfakebackend.Work{}
+			}, append(pair, listed{Path: "/p.E/Get", Service: "entry", Idempotent: true})...)
+			f.guard = berylinvariant.New(berylinvariant.OnViolation(func(string, string) {}))
+			at := f.add("s", "s")
+			to := at
+			if tc.forward {
+				to = f.add("entry", "entry")
+			}
+			f.start()
+			f.until("tokens flow", func() bool { return f.call(to, "/p.S/Get", "") == nil })
+			done := f.started(to, tc.path, 2, tc.opts...)
+			begin := time.Now()
+			const drain = 2 * time.Second
+			end := f.stopped(at, drain)
+			for range 2 {
+				err := <-done
+				var ce *connect.Error
+				require.True(t, errors.As(err, &ce), "%v", err)
+				require.Equal(t, berylrefusal.Unknown, ce.Meta().Get(berylheader.Run), "%v", err)
+				require.Equal(t, berylrefusal.Leaving, ce.Meta().Get(berylheader.Reason), "%v", err)
+			}
+			require.Error(t, <-end)
+			require.Less(t, time.Since(begin), drain+time.Second)
+		})
+	}
+}
+
+// Guards against a stream that ends without telling why when the time for a stop is over.
+func TestStreamRunningAtTheEndOfTheStopGetsNoEnd(t *testing.T) {
+	f := newFixture(t, nil, func(path string) berylfakebackend.Work {
+		if path == "/p.S/Pull" {
+			return berylfakebackend.Work{Chunks: 100, Size: 100, Pace: 100 * time.Millisecond}
+		}
+		return berylfakebackend.Work{}
+	}, pair...)
+	f.guard = berylinvariant.New(berylinvariant.OnViolation(func(string, string) {}))
+	n := f.add("s", "s")
+	f.start()
+	f.until("tokens flow", func() bool { return f.call(n, "/p.S/Get", "") == nil })
+	c := connect.NewClient[berylframe.Frame, berylframe.Frame](f.client, f.scheme+n.set.Callers+"/p.S/Pull", connect.WithCodec(berylframe.Codec(berylframe.JSON)))
+	req := connect.NewRequest(&berylframe.Frame{Codec: berylframe.JSON, Data: []byte(`{}`)})
+	req.Header().Set(berylheader.Key, key)
+	stream, err := c.CallServerStream(context.Background(), req)
+	require.NoError(t, err)
+	require.True(t, stream.Receive())
+	end := f.stopped(n, 2*time.Second)
+	for stream.Receive() {
+		require.NotEmpty(t, stream.Msg().Data)
+	}
+	var ce *connect.Error
+	require.True(t, errors.As(stream.Err(), &ce), "%v", stream.Err())
+	require.Equal(t, berylrefusal.Unknown, ce.Meta().Get(berylheader.Run), "%v", ce)
+	require.Equal(t, berylrefusal.Leaving, ce.Meta().Get(berylheader.Reason), "%v", ce)
+	require.Error(t, <-end)
+}
