Refuse calls that still run at the end of a stop of the Connect mode

Callers whose calls still ran when the time for a stop was over got a closed connection: with Connect and gRPC an error without Beryl-Run and Beryl-Reason, and for a stream an incomplete envelope. Daemons that had forwarded such calls told "no answer came".

Cause: when its context ended, the stop closed all connections, whatever ran on them. Nothing told the handlers that the time was over while they could still answer.

Now the contexts of all running requests end 0.3 s before the stop does (a quarter of the time, if that is less), with the refusal as their cause: reason leaving, may have run. The relay takes the reason from there and says "unknown" once a connection was obtained, as always. Calls at the callers', peers' and local listener are treated alike, so the truth passes through another daemon, which repeats idempotent calls elsewhere. The stop still returns an error, and names how many requests it refused.

--- a/io/beryldaemon/daemon.go
+++ b/io/beryldaemon/daemon.go
@@ -7,11 +7,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"berylspan/core/berylinstance"
 	"berylspan/core/berylinvariant"
 	"berylspan/core/berylpolicy"
+	"berylspan/core/berylrefusal"
 	"berylspan/io/berylbackend"
 	"berylspan/io/berylcalltokens"
 	"berylspan/io/berylclock"
@@ -247,13 +249,22 @@
 }
 
 // Stop is a graceful shutdown: the instance is announced as leaving, new work
-// goes elsewhere and the calls that run are finished.
+// goes elsewhere and the calls that run are finished. Calls that still run shortly before the
+// deadline of ctx are refused as unknown and make Stop return an error.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.log.Info().Msg("leaving")
 	_ = d.owner.Leave(ctx)
 	_ = d.control.Leave(ctx)
 	berylclock.Sleep(ctx, leaveNotice)
 	d.backend.Leave()
+	var cutOff atomic.Int64
+	finish, cancel := untilAnswers(ctx)
+	defer cancel()
+	refuse := context.AfterFunc(finish, func() {
+		for _, s := range d.servers {
+			cutOff.Add(int64(s.Cancel(berylrefusal.NewMaybeRun(berylrefusal.Leaving, connect.CodeUnavailable, "the instance has left before the answer came"))))
+		}
+	})
 	var err error
 	// The local listener last: calls of callers and of other daemons may still make nested calls.
 	for i := len(d.servers) - 1; i >= 0; i-- {
@@ -261,11 +272,26 @@
 			err = e
 		}
 	}
+	if !refuse() && err == nil && cutOff.Load() > 0 {
+		err = eris.Errorf("%d requests still ran at the end of the stop and were refused", cutOff.Load())
+	}
 	d.guard.Check(err == nil, berylinvariant.Stop, "a planned stop cut off calls: %v", err)
 	d.end()
 	return err
 }
 
+// untilAnswers returns a context that ends so long before ctx that refusals still arrive.
+func untilAnswers(ctx context.Context) (context.Context, context.CancelFunc) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, end.Add(-min(answerTime, time.Until(end)/4)))
+}
+
+// answerTime is how long before the end of a stop the calls that are left are refused.
+const answerTime = 300 * time.Millisecond
+
 // leaveNotice is how long others get to hear that the instance leaves before it
 // refuses new calls.
 const leaveNotice = 300 * time.Millisecond
--- a/io/berylrelay/relay.go
+++ b/io/berylrelay/relay.go
@@ -135,7 +135,8 @@
 
 // failure returns the outcome of a call that failed with err. An error that the server
 // answered with becomes Outcome.Err; any other failure, such as a lost connection or a
-// timeout, becomes a refusal. A canceled call or a stalled stream does not mark the
+// timeout, becomes a refusal. If a refusal is the cause of the end of ctx, it takes its reason from
+// there. A canceled call or a stalled stream does not mark the
 // address as unreachable.
 func (a *attempt) failure(ctx context.Context, err error) *beryloutcome.Outcome {
 	var connectErr *connect.Error
@@ -149,7 +150,10 @@
 		return out
 	}
 	refusal := berylrefusal.NewNotRun(berylrefusal.Backend, connect.CodeUnavailable, "no answer came: "+connectErr.Message())
+	var cause *berylrefusal.Refusal
 	switch {
+	case errors.As(context.Cause(ctx), &cause):
+		refusal.Reason, refusal.Code, refusal.Text = cause.Reason, cause.Code, cause.Text
 	case errors.Is(context.Cause(ctx), errStalled):
 		refusal.Reason, refusal.Text = berylrefusal.Stalled, errStalled.Error()
 	case connectErr.Code() == connect.CodeDeadlineExceeded || errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/io/berylserver/server.go
+++ b/io/berylserver/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -14,9 +15,11 @@
 
 // Server is an HTTP server on one address. It serves from its creation until Stop or Close.
 type Server struct {
-	http *http.Server
-	ln   net.Listener
-	done chan error // receives the result of serving, then is closed
+	http    *http.Server
+	ln      net.Listener
+	cancel  context.CancelCauseFunc // of the contexts of all requests
+	running atomic.Int64            // requests
+	done    chan error              // receives the result of serving, then is closed
 }
 
 const (
@@ -53,9 +56,11 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(tlsConfig != nil)
 	protocols.SetUnencryptedHTTP2(tlsConfig == nil)
-	s := &Server{ln: ln, done: make(chan error, 1)}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	s := &Server{ln: ln, cancel: cancel, done: make(chan error, 1)}
 	s.http = &http.Server{
-		Handler:           handler,
+		Handler:           s.count(handler),
+		BaseContext:       func(net.Listener) context.Context { return ctx },
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -77,6 +82,14 @@
 	return s
 }
 
+func (s *Server) count(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.running.Add(1)
+		defer s.running.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
+
 func (s *Server) serve(tlsConfig *tls.Config) error {
 	if tlsConfig != nil {
 		return s.http.ServeTLS(s.ln, "", "")
@@ -87,6 +100,13 @@
 // Addr returns the address of the listener, with the actual port if port 0 was requested.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
+// Cancel ends the contexts of the running requests with cause and returns how many there were.
+func (s *Server) Cancel(cause error) int {
+	n := int(s.running.Load())
+	s.cancel(cause)
+	return n
+}
+
 // Stop shuts the server down gracefully: it stops accepting connections, tells HTTP/2
 // clients by GOAWAY to open no more streams, and waits for running requests. If ctx ends
 // first, it closes the remaining connections and returns an error.
