Show that an unused connection makes a stop of the Connect mode fail

A caller has opened a connection to each listener and sent nothing. Output on the current code:

--- FAIL: TestUnusedConnectionMakesStopFail (2.02s) violated stop: a planned stop cut off calls: stop: context deadline exceeded Received unexpected error: stop: context deadline exceeded

--- a/io/beryldaemon/stop_test.go
+++ b/io/beryldaemon/stop_test.go
@@ -196,3 +196,17 @@
 	require.Equal(t, berylrefusal.Leaving, ce.Meta().Get(berylheader.Reason), "%v", ce)
 	require.Error(t, <-end)
 }
+
+// Guards against a stop that is told as one that cut off calls because of a connection on which
+// nothing was asked.
+func TestUnusedConnectionMakesStopFail(t *testing.T) {
+	f := newFixture(t, nil, func(string) berylfakebackend.Work { return berylfakebackend.Work{} }, pair...)
+	n := f.add("s", "s")
+	f.start()
+	for _, addr := range []string{n.set.Callers, n.set.Peers, n.set.Local} {
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+	}
+	require.NoError(t, <-f.stopped(n, 2*time.Second))
+}
