Let unused connections not count as calls that a stop cut off

Operators saw a stop with a short drain time end with exit code 1, the line "calls were cut off" and a violated invariant, though no call was under way. Monitoring took planned stops for losses.

Cause: Shutdown of net/http waits up to 5 s for a connection on which no request has come yet, and then returns the error of its context. Stop took any such error for requests that were cut off.

--- a/io/berylserver/server.go
+++ b/io/berylserver/server.go
@@ -109,10 +109,14 @@
 
 // Stop shuts the server down gracefully: it stops accepting connections, tells HTTP/2
 // clients by GOAWAY to open no more streams, and waits for running requests. If ctx ends
-// first, it closes the remaining connections and returns an error.
+// first, it closes the remaining connections, and returns an error if requests were running.
 func (s *Server) Stop(ctx context.Context) error {
 	if err := s.http.Shutdown(ctx); err != nil {
-		return errors.Join(eris.Wrap(err, "stop"), s.Close())
+		// net/http waits for connections, also for those that no request has come on yet.
+		if n := s.running.Load(); n > 0 {
+			return errors.Join(eris.Wrapf(err, "stop with %d requests running", n), s.Close())
+		}
+		return s.Close()
 	}
 	if err := <-s.done; err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return eris.Wrap(err, "stop")
