Show that calls with nested calls to their own service fail during a stop

The only instance of a service stops while accepted calls run that make a nested call to the same service.

--- a/io/beryldaemon/stop_test.go
+++ b/io/beryldaemon/stop_test.go
@@ -210,3 +210,23 @@
 	}
 	require.NoError(t, <-f.stopped(n, 2*time.Second))
 }
+
+// Guards against the failure of accepted calls that make nested calls to their own service, of
+// which the stopping instance is the only one.
+func TestNestedCallsToOwnServiceFailDuringStop(t *testing.T) {
+	f := newFixture(t, nil, func(path string) berylfakebackend.Work {
+		if path == "/p.S/Put" {
+			return berylfakebackend.Work{Time: time.Second, Nested: []string{"/p.S/Get"}}
+		}
+		return berylfakebackend.Work{}
+	}, pair...)
+	n := f.add("s", "s")
+	f.start()
+	f.until("tokens flow", func() bool { return f.call(n, "/p.S/Get", "") == nil })
+	done := f.started(n, "/p.S/Put", 4)
+	end := f.stopped(n, 8*time.Second)
+	for range 4 {
+		require.NoError(t, <-done)
+	}
+	require.NoError(t, <-end)
+}
