Run nested calls to the own service while the instance leaves

Callers saw accepted calls fail during a planned stop with "not run: no instance of service s is known" when their work made a nested call to its own service and no other instance was left, as when all instances of a service stop together.

Cause: a leaving instance takes itself out of its list of instances at once, and its backend refuses all later calls. Both were meant for new work, and hit the nested calls of the calls that the stop waits for, too.

Now a nested call to the own service runs on the leaving instance itself when no other instance takes it. New work, and nested calls that other daemons forward, are refused as before: their daemon can choose again. The stop ends as before, as it waits for the parents of such calls.

--- a/io/berylbackend/backend.go
+++ b/io/berylbackend/backend.go
@@ -42,16 +42,15 @@
 	return &Backend{addr: addr, relay: relay, slots: slots, tokens: tokens, guard: guard}
 }
 
-// Leave makes Run refuse all later calls.
+// Leave makes Run refuse all later calls except nested ones, and RunForwarded all later calls.
 func (b *Backend) Leave() { b.leavingSince.Store(time.Now().UnixNano()) }
 
 // Run waits for a slot and forwards the call to the backend server. A call that cannot
 // start in time is refused as not run.
 func (b *Backend) Run(ctx context.Context, c *berylcall.Call, x *berylexchange.Exchange) *beryloutcome.Outcome {
 	arrived := time.Now()
-	if b.leavingSince.Load() != 0 {
-		refusal := berylrefusal.NewNotRun(berylrefusal.Leaving, connect.CodeUnavailable, "the instance is leaving")
-		return beryloutcome.Refuse(refusal, c.RetriesLeft)
+	if b.leavingSince.Load() != 0 && c.Hops == 0 {
+		return refuseLeaving(c)
 	}
 	release, refusal := b.slots.Acquire(ctx, c.Order(), x.Sink != nil)
 	if refusal != nil {
@@ -65,12 +64,26 @@
 		return beryloutcome.Refuse(refusal, c.RetriesLeft)
 	}
 	leavingSince := b.leavingSince.Load()
-	b.guard.Check(leavingSince == 0 || arrived.UnixNano() <= leavingSince+leaveGrace.Nanoseconds(), berylinvariant.Leaving, "call %s arrived at an instance that is leaving", c.ID)
+	b.guard.Check(leavingSince == 0 || c.Hops > 0 || arrived.UnixNano() <= leavingSince+leaveGrace.Nanoseconds(), berylinvariant.Leaving, "call %s arrived at an instance that is leaving", c.ID)
 	out := b.forward(ctx, c, x, release)
 	b.reportLoad(c, out)
 	return out
 }
 
+// RunForwarded is Run for a call that another daemon forwarded, which can choose another
+// instance for it.
+func (b *Backend) RunForwarded(ctx context.Context, c *berylcall.Call, x *berylexchange.Exchange) *beryloutcome.Outcome {
+	if b.leavingSince.Load() != 0 {
+		return refuseLeaving(c)
+	}
+	return b.Run(ctx, c, x)
+}
+
+func refuseLeaving(c *berylcall.Call) *beryloutcome.Outcome {
+	refusal := berylrefusal.NewNotRun(berylrefusal.Leaving, connect.CodeUnavailable, "the instance is leaving")
+	return beryloutcome.Refuse(refusal, c.RetriesLeft)
+}
+
 // reportLoad sets the fields of the outcome that tell callers the load of this instance.
 func (b *Backend) reportLoad(c *berylcall.Call, out *beryloutcome.Outcome) {
 	out.Threshold = b.slots.Threshold()
--- a/io/beryldaemon/daemon.go
+++ b/io/beryldaemon/daemon.go
@@ -182,7 +182,7 @@
 	d.tokens = berylcalltokens.New()
 	d.slots = berylslots.New(d.policy, d.set.Slots, d.guard)
 	d.backend = berylbackend.New(d.set.Backend, berylrelay.New(toBackend, "http", berylendpoint.MaxMessageBytes), d.slots, d.tokens, d.guard)
-	d.peer = berylpeer.New(d.set.Secret, berylrelay.New(toPeers, scheme, berylendpoint.MaxMessageBytes), d.control.State, d.backend.Run)
+	d.peer = berylpeer.New(d.set.Secret, berylrelay.New(toPeers, scheme, berylendpoint.MaxMessageBytes), d.control.State, d.backend.RunForwarded)
 	dispatch := beryldispatch.New(self, d.policy, berylloads.New(), d.guard,
 		beryldispatch.Local(d.backend.Run),
 		beryldispatch.Remote(d.peer.Send),
--- a/io/beryldispatch/dispatch.go
+++ b/io/beryldispatch/dispatch.go
@@ -202,10 +202,14 @@
 		candidates[i] = berylbalancer.Candidate{ID: inst.ID, OtherZone: inst.Zone != d.self.Zone, Cold: load.FirstSeen.Sub(d.startedAt) > berylbalancer.SlowStart, Load: load}
 	}
 	i := berylbalancer.Choose(now, candidates, c.Order(), tried, rand.IntN)
-	if i < 0 {
-		return berylinstance.Instance{}, false
+	if i >= 0 {
+		return instances[i], true
 	}
-	return instances[i], true
+	// No other instance takes it, and without it the calls that are to be finished would fail.
+	if s.Leaving && c.Hops > 0 && c.Route.Service == d.self.Service && !tried[d.self.ID] {
+		return d.self, true
+	}
+	return berylinstance.Instance{}, false
 }
 
 // attempt runs the call once. Half of the retry allowance is not passed on but reserved
