Log a leave that could not be announced

At a stop of the Connect mode an error of giving up the shards or of announcing the leave, as after a panic in the loop that does it, was swallowed. Calls then still come from other daemons.

--- a/io/beryldaemon/daemon.go
+++ b/io/beryldaemon/daemon.go
@@ -253,8 +253,12 @@
 // deadline of ctx are refused as unknown and make Stop return an error.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.log.Info().Msg("leaving")
-	_ = d.owner.Leave(ctx)
-	_ = d.control.Leave(ctx)
+	if err := d.owner.Leave(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("shards not given up")
+	}
+	if err := d.control.Leave(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("leave not announced")
+	}
 	berylclock.Sleep(ctx, leaveNotice)
 	d.backend.Leave()
 	var cutOff atomic.Int64
