--- a/io/berylapp/commands.go
+++ b/io/berylapp/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -17,6 +18,7 @@
 	"berylspan/core/berylconfig"
 	"berylspan/io/beryldaemon"
 	"berylspan/io/beryldemo"
+	"berylspan/io/beryllog"
 	"berylspan/io/berylsettings"
 
 	"github.com/rs/zerolog"
@@ -38,21 +40,26 @@
 		return Findings
 	}
 	debug.SetGCPercent(gcPercent)
-	log := a.logger(set)
+	out := beryllog.New(a.err)
+	defer out.Close()
+	log := logger(out, set)
+	a.signals.Daemon(log)
 	d, err := beryldaemon.New(set, log)
 	if err != nil {
 		a.complain("%v", err)
 		return Findings
 	}
-	if err := d.Start(ctx); err != nil {
+	if err := d.Start(ctx); err != nil && !errors.Is(err, context.Canceled) {
 		log.Error().Err(err).Msg("not started")
 		d.Kill()
 		return Failed
 	}
+	a.signals.Serving()
 	code := OK
 	select {
 	case <-ctx.Done():
 	case <-d.Failed():
+		a.signals.Stopping()
 		log.Error().Msg("stopping after a panic in a part that holds control state")
 		code = Failed
 	}
@@ -66,10 +73,9 @@
 	return code
 }
 
-func (a *App) logger(set berylsettings.Settings) zerolog.Logger {
-	w := a.err
+func logger(w io.Writer, set berylsettings.Settings) zerolog.Logger {
 	if set.Format == "text" {
-		w = zerolog.ConsoleWriter{Out: a.err, TimeFormat: time.RFC3339}
+		w = zerolog.ConsoleWriter{Out: w, TimeFormat: time.RFC3339}
 	}
 	level, err := zerolog.ParseLevel(set.Level)
 	if err != nil {
--- a/io/beryldaemon/daemon.go
+++ b/io/beryldaemon/daemon.go
@@ -7,11 +7,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"berylspan/core/berylinstance"
 	"berylspan/core/berylinvariant"
 	"berylspan/core/berylpolicy"
+	"berylspan/core/berylrefusal"
 	"berylspan/io/berylbackend"
 	"berylspan/io/berylcalltokens"
 	"berylspan/io/berylclock"
@@ -66,8 +68,8 @@
 	entry   *berylingress.Ingress
 	local   *berylegress.Egress
 
-	idle    []func() // closes connections that are not in use
-	servers []*berylserver.Server
+	idle    []func()              // closes connections that are not in use
+	servers []*berylserver.Server // local, peers, callers
 	loops   sync.WaitGroup
 	cancel  context.CancelFunc
 	panics  *berylpanic.Guard
@@ -182,7 +184,7 @@
 	d.tokens = berylcalltokens.New()
 	d.slots = berylslots.New(d.policy, d.set.Slots, d.guard)
 	d.backend = berylbackend.New(d.set.Backend, berylrelay.New(toBackend, "http", berylendpoint.MaxMessageBytes), d.slots, d.tokens, d.guard)
-	d.peer = berylpeer.New(d.set.Secret, berylrelay.New(toPeers, scheme, berylendpoint.MaxMessageBytes), d.control.State, d.backend.Run)
+	d.peer = berylpeer.New(d.set.Secret, berylrelay.New(toPeers, scheme, berylendpoint.MaxMessageBytes), d.control.State, d.backend.RunForwarded)
 	dispatch := beryldispatch.New(self, d.policy, berylloads.New(), d.guard,
 		beryldispatch.Local(d.backend.Run),
 		beryldispatch.Remote(d.peer.Send),
@@ -200,14 +202,15 @@
 	d.local = berylegress.New(d.control.State, d.policy, d.tokens, dispatch.Send, repeats.Run)
 }
 
-// Start listens on the peers' and local addresses, and on the callers' one once
-// a configuration is known or ctx has ended.
+// Start listens on the local and peers' addresses, and on the callers' one once
+// a configuration is known. When ctx ends first, it returns the error of ctx; the daemon is to be
+// stopped then, too, as it serves other daemons already.
 func (d *Daemon) Start(ctx context.Context) error {
 	rpc := berylwire.NewControlServer(&service{control: d.control, owner: d.owner})
-	if err := d.listen(d.set.Peers, d.peer.Handler(rpc.PathPrefix(), rpc), d.secure.Peers()); err != nil {
+	if err := d.listen(d.set.Local, d.localHandler(), nil); err != nil {
 		return err
 	}
-	if err := d.listen(d.set.Local, d.localHandler(), nil); err != nil {
+	if err := d.listen(d.set.Peers, d.peer.Handler(rpc.PathPrefix(), rpc), d.secure.Peers()); err != nil {
 		return err
 	}
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -248,25 +251,53 @@
 }
 
 // Stop is a graceful shutdown: the instance is announced as leaving, new work
-// goes elsewhere and the calls that run are finished.
+// goes elsewhere and the calls that run are finished. Calls that still run shortly before the
+// deadline of ctx are refused as unknown and make Stop return an error.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.log.Info().Msg("leaving")
-	_ = d.owner.Leave(ctx)
-	_ = d.control.Leave(ctx)
+	if err := d.owner.Leave(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("shards not given up")
+	}
+	if err := d.control.Leave(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("leave not announced")
+	}
 	berylclock.Sleep(ctx, leaveNotice)
 	d.backend.Leave()
+	var cutOff atomic.Int64
+	finish, cancel := untilAnswers(ctx)
+	defer cancel()
+	refuse := context.AfterFunc(finish, func() {
+		for _, s := range d.servers {
+			cutOff.Add(int64(s.Cancel(berylrefusal.NewMaybeRun(berylrefusal.Leaving, connect.CodeUnavailable, "the instance has left before the answer came"))))
+		}
+	})
 	var err error
-	// Callers first: their calls may still need the other listeners.
+	// The local listener last: calls of callers and of other daemons may still make nested calls.
 	for i := len(d.servers) - 1; i >= 0; i-- {
 		if e := d.servers[i].Stop(ctx); e != nil && err == nil {
 			err = e
 		}
 	}
+	if !refuse() && err == nil && cutOff.Load() > 0 {
+		err = eris.Errorf("%d requests still ran at the end of the stop and were refused", cutOff.Load())
+	}
 	d.guard.Check(err == nil, berylinvariant.Stop, "a planned stop cut off calls: %v", err)
 	d.end()
 	return err
 }
 
+// untilAnswers returns a context that ends so long before ctx that refusals still arrive.
+func untilAnswers(ctx context.Context) (context.Context, context.CancelFunc) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, end.Add(-min(answerTime, time.Until(end)/4)))
+}
+
+// answerTime is how long before the end of a stop the calls that are left are refused.
+const answerTime = 300 * time.Millisecond
+
 // leaveNotice is how long others get to hear that the instance leaves before it
 // refuses new calls.
 const leaveNotice = 300 * time.Millisecond
@@ -298,5 +329,5 @@
 
 // Addresses returns the addresses of the callers', peers' and local listener.
 func (d *Daemon) Addresses() (callers, peers, local string) {
-	return d.servers[2].Addr(), d.servers[0].Addr(), d.servers[1].Addr()
+	return d.servers[2].Addr(), d.servers[1].Addr(), d.servers[0].Addr()
 }
