Show that a request is started whose body comes late in a stop

It is run then, when most of its time is over and its answer may no longer come.

Output on this code, 3 of 6 cases, 3 of 3 times:

--- FAIL: TestRequestWhoseBodyComesLateInStopIsStarted/late:_refused (0.80s) expected: []string{"503 refused /1"} actual : []string{"200 /1"} --- FAIL: .../late_behind_a_running_one:_refused (0.80s) expected: []string{"200 /slow", "503 refused /1"} actual : []string{"200 /slow", "200 /1"} --- FAIL: .../long_and_late_behind_a_running_one,_before_which_it_must_not_run:_refused (0.80s) expected: []string{"200 /slow", "503 refused /1"} actual : []string{"200 /slow", "200 /1"}

--- a/io/berylhttpserver/drain_test.go
+++ b/io/berylhttpserver/drain_test.go
@@ -390,3 +390,59 @@
 		})
 	}
 }
+
+// A request whose body came late in a stop was started when its answer could no longer come.
+func TestRequestWhoseBodyComesLateInStopIsStarted(t *testing.T) {
+	const (
+		work  = 2 * time.Second // time of the stop for what runs
+		early = 100 * time.Millisecond
+		late  = 800 * time.Millisecond
+	)
+	part := strings.Repeat("a", 1000)
+	long := strings.Repeat("a", maxBufferedBody)
+	for _, c := range []struct {
+		name, send, rest string
+		delay            time.Duration // of the rest, after the stop began
+		busy             int
+		want             []string
+	}{
+		{"whole in time: run", "PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + part, part, early, 1, []string{"200 /1"}},
+		{"late: refused", "PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + part, part, late, 1, []string{"503 refused /1"}},
+		{"late behind a running one: refused", "GET /slow HTTP/1.1\r\nHost: h\r\n\r\nPUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + part, part, late, 2, []string{"200 /slow", "503 refused /1"}},
+		{"long and late: is passed on while it arrives", "PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 66536\r\n\r\n" + long, part, late, 1, []string{"200 /1"}},
+		{"long and late behind a running one, before which it must not run: refused", "GET /slow HTTP/1.1\r\nHost: h\r\n\r\nPOST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 66536\r\n\r\n" + long, part, late, 2, []string{"200 /slow", "503 refused /1"}},
+		{"whole behind a running one, before which it must not run: run", "GET /slow HTTP/1.1\r\nHost: h\r\n\r\nPOST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", "", 0, 2, []string{"200 /slow", "200 /1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var started sync.Map
+			s, reported, dial := startReportingServer(t, func(_ context.Context, r *Request) *Answer {
+				started.Store(r.Path, true)
+				if r.Path == "/slow" {
+					time.Sleep(late)
+				}
+				if r.Stream != nil {
+					_, err := io.Copy(io.Discard, r.Stream)
+					require.NoError(t, err)
+				}
+				return textAnswer(r.Path)
+			}, Refuse(func(r *Request) *Answer {
+				_, ok := started.Load(r.Path)
+				require.False(t, ok, "%s was started and refused", r.Path)
+				return &Answer{Status: http.StatusServiceUnavailable, Header: http.Header{}, Body: []byte("refused " + r.Path)}
+			}))
+			nc := dial()
+			_, err := io.WriteString(nc, c.send)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return s.Busy() == c.busy }, time.Second, time.Millisecond)
+			start := time.Now()
+			go drainAndClose(s, work)
+			time.AfterFunc(c.delay, func() { _, _ = io.WriteString(nc, c.rest) }) // Its caller may have gone elsewhere.
+			require.Equal(t, c.want, readAnswers(t, nc, len(c.want)))
+			require.Less(t, time.Since(start), work)
+			_, err = nc.Read(make([]byte, 1))
+			require.ErrorIs(t, err, io.EOF)
+			require.Empty(t, reported.all())
+		})
+	}
+}
