Let a streamed answer go on after the time limit of its request

What callers saw: an answer of more than 64 KB (from another instance) or 256 KB (from the server beside) that had to wait behind a request which reached its time limit was cut after its first bytes, and every answer behind it on the connection was lost.

Cause: the deadline of a request also ended its answer when that had begun long before. The context with the deadline closes the connection that the rest of the answer is read from, at the entry and beside the server, and an answer that waits for its turn is not read. Answers that are not streamed are written in the same situation.

Change: io/beryltimelimit has the deadline of a request. It cancels the context as before until the answer begins. From then on it cancels it if a read of the answer gets nothing until the deadline, or for 1 s if that ends later. So a source that stalls is still given up in time, while time in which nobody reads does not count. An answer that is not read ends 30 s after the deadline, so that a slot of the backend server is not held for longer. A caller that leaves and the end of a stop cancel as before.

--- a/io/berylmesh/server.go
+++ b/io/berylmesh/server.go
@@ -10,6 +10,7 @@
 	"berylspan/io/berylreply"
 	"berylspan/io/berylrequest"
 	"berylspan/io/berylsocket"
+	"berylspan/io/beryltimelimit"
 )
 
 // Server receives requests from other instances on one listener.
@@ -128,13 +129,16 @@
 
 // serveRequest handles one request and reports whether the connection can be used again.
 func (s *Server) serveRequest(parent context.Context, c *conn, req *berylrequest.Request, r *request) bool {
-	ctx, cancel := context.WithDeadline(parent, req.Deadline)
-	defer cancel()
-	s.setCancel(r, cancel)
-	stop := cancelOnClose(c, cancel)
+	ctx, limit := beryltimelimit.New(parent, req.Deadline)
+	defer limit.Cancel()
+	s.setCancel(r, limit.Cancel)
+	stop := cancelOnClose(c, limit.Cancel)
 	reply := s.handle(ctx, req)
 	stop()
 	s.setCancel(r, nil)
+	if reply.Stream != nil {
+		reply.Stream = limit.Stream(reply.Stream)
+	}
 	defer reply.Close()
 	if body, ok := req.Stream.(*chunkReader); ok && !body.done {
 		// The rest of the request body is still to come, so the connection cannot be reused.
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -15,6 +15,7 @@
 	"berylspan/core/berylserverstatus"
 	"berylspan/io/berylhttpserver"
 	"berylspan/io/berylreply"
+	"berylspan/io/beryltimelimit"
 )
 
 const (
@@ -41,7 +42,7 @@
 		q.reason = berylreply.ReasonCanceled
 		return &berylhttpserver.Answer{Abort: true}
 	}
-	ctx, cancel := context.WithDeadline(parent, q.outgoing.Deadline)
+	ctx, limit := beryltimelimit.New(parent, q.outgoing.Deadline)
 	st := &attemptState{tried: map[string]bool{}}
 	p.recordForBudget(q.outgoing.Service)
 	for q.attempts < maxInstancesTried && ctx.Err() == nil {
@@ -60,13 +61,16 @@
 		q.reason = reply.Reason
 		q.queueTime += reply.QueueTime
 		if reply.Outcome == berylattempt.Answered && !p.retryAnswered(ctx, q, st, reply) {
-			return p.newAnswer(reply, cancel)
+			if reply.Stream != nil {
+				reply.Stream = limit.Stream(reply.Stream)
+			}
+			return p.newAnswer(reply, limit.Cancel)
 		}
 		if !p.shouldRetry(ctx, q, st, reply) {
 			break
 		}
 	}
-	defer cancel()
+	defer limit.Cancel()
 	return p.finishUnanswered(parent, ctx, q, st)
 }
 
