Refuse requests whose bodies are still arriving when a stop goes on

What callers saw: beside a planned stop, an upload that was slow to arrive was run up to 3 s after the instance had ceased to read requests, and its answer came late or not at all.

Cause: a request whose header had been read counted as accepted, however long its body took. Only at the end of the time for work was it refused.

Change: 0.4 s after a drain has begun (half of its time for work if that is less), a request that has not been started and whose body is not whole is refused with 503, as the last answer of its connection (Connection: close). That is true, as it was not passed on, and its caller can go elsewhere at once. It also holds for a long body that waits for its turn. Bodies that are passed on while they arrive go on as before, and whole requests still run.

--- a/io/berylhttpserver/body.go
+++ b/io/berylhttpserver/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 )
 
@@ -70,7 +71,10 @@
 	if httpReq.ContentLength == 0 {
 		return nil, nil
 	}
-	c.setReadTimeout(transferTimeout)
+	if !c.beginBody() {
+		return nil, os.ErrDeadlineExceeded
+	}
+	defer c.endBody()
 	bounded := &maxBytesReader{r: httpReq.Body, remaining: limits.MaxBodyBytes}
 	first, err := io.ReadAll(io.LimitReader(bounded, maxBufferedBody))
 	if err != nil {
--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -43,6 +43,8 @@
 	arriving          bool              // a request, from its first byte to the end of its header
 	readingStopped    bool
 	lastRead          bool      // no further request is read, even if one has arrived
+	bodyArriving      bool      // that of a request which is not started before it is whole
+	bodiesEnded       bool      // no request is started whose body is not whole
 	answerDeadline    time.Time // no request is started any more and answers must be written by then; zero if not set
 	ended             bool      // set by the last answer and by abort
 	err               error     // why the connection ended without an answer
@@ -82,6 +84,40 @@
 	}
 }
 
+// endBodies makes the request whose body is arriving be refused, unless it is passed on while
+// it arrives.
+func (c *conn) endBodies() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bodiesEnded {
+		return
+	}
+	c.bodiesEnded = true
+	if c.bodyArriving && !c.ended {
+		c.unblockReader()
+	}
+}
+
+// beginBody sets the timeout for reading a body. It returns false if that may not be read any
+// more.
+func (c *conn) beginBody() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bodiesEnded || c.isWorkEnded() || c.ended {
+		return false
+	}
+	c.bodyArriving = true
+	_ = c.nc.SetReadDeadline(time.Now().Add(transferTimeout)) // Fails only if the connection is closed.
+	return true
+}
+
+// endBody is called when a body is whole, or when its request may be started before that.
+func (c *conn) endBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bodyArriving = false
+}
+
 // endWork cancels the requests that are being handled and makes the others be refused, so
 // that all answers can be written until deadline.
 func (c *conn) endWork(deadline time.Time) {
@@ -250,7 +286,7 @@
 	}
 	if httpReq.ContentLength != 0 && strings.EqualFold(httpReq.Header.Get("Expect"), "100-continue") {
 		<-prevWritten
-		if !c.mustRefuse() {
+		if !c.mustRefuseBody() {
 			// If the connection is broken, reading the body fails.
 			_, _ = c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 		}
@@ -287,7 +323,7 @@
 		c.setWait(p, WaitTurn)
 		<-prevWritten
 	}
-	ctx, ok := c.beginHandling(p)
+	ctx, ok := c.beginHandling(p, r.Stream == nil)
 	switch {
 	case ok:
 		return c.server.Handle(ctx, r)
@@ -320,7 +356,7 @@
 func (c *conn) bodyErrorAnswer(r *Request, err error) *Answer {
 	status := errorStatus(err)
 	switch {
-	case c.mustRefuse():
+	case c.mustRefuse(), c.mustRefuseBody() && errors.Is(err, os.ErrDeadlineExceeded):
 		return c.server.refuse(r)
 	case errors.Is(err, errBodyTooLong):
 		status = http.StatusRequestEntityTooLarge
@@ -358,6 +394,13 @@
 	return c.isWorkEnded()
 }
 
+// mustRefuseBody reports whether requests whose bodies are not whole must be refused.
+func (c *conn) mustRefuseBody() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bodiesEnded || c.isWorkEnded()
+}
+
 // hasEnded reports whether no further answers are written on the connection.
 func (c *conn) hasEnded() bool {
 	c.mu.Lock()
--- a/io/berylhttpserver/pending.go
+++ b/io/berylhttpserver/pending.go
@@ -38,11 +38,11 @@
 }
 
 // beginHandling returns the context for handling a request, or false if the request must not
-// be started any more.
-func (c *conn) beginHandling(p *pendingRequest) (context.Context, bool) {
+// be started any more. whole is set if all of its body is there.
+func (c *conn) beginHandling(p *pendingRequest, whole bool) (context.Context, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || c.isWorkEnded() {
+	if c.ended || c.isWorkEnded() || (c.bodiesEnded && !whole) {
 		return nil, false
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
--- a/io/berylhttpserver/server.go
+++ b/io/berylhttpserver/server.go
@@ -144,7 +144,9 @@
 }
 
 // Drain stops accepting connections and reading requests. It waits until all requests that
-// were read are answered and all connections closed. After timeout it ends what is left and
+// were read are answered and all connections closed. Requests whose bodies are still arriving
+// after 400 ms, or half of timeout if that is less, are refused unless they have been started:
+// their callers can go elsewhere at once. After timeout it ends what is left and
 // waits for another answerTime at most: the context of requests that are being handled is
 // cancelled with ErrStopping as cause, requests that have not been started are refused, and
 // the answers of each connection are written in order. Answers whose bodies are being
@@ -154,11 +156,17 @@
 	s.mu.Lock()
 	s.keepAlivesDisabled = true
 	s.mu.Unlock()
-	endWork := time.Now().Add(timeout)
+	begin := time.Now()
+	endWork := begin.Add(timeout)
 	endAnswers := endWork.Add(answerTime)
+	s.pollConns(begin.Add(min(bodyTime, timeout/2)), func(c *conn) {
+		c.disableKeepAlive()
+		c.stopReading()
+	})
 	s.pollConns(endWork, func(c *conn) {
 		c.disableKeepAlive()
 		c.stopReading()
+		c.endBodies()
 	})
 	s.pollConns(endAnswers, func(c *conn) {
 		c.disableKeepAlive()
@@ -167,7 +175,10 @@
 	})
 }
 
-const drainPollInterval = 10 * time.Millisecond
+const (
+	bodyTime          = 400 * time.Millisecond // for bodies that are arriving when a stop begins
+	drainPollInterval = 10 * time.Millisecond
+)
 
 // pollConns calls f for each connection again and again until there are none and no more can
 // come, or until deadline.
