Show that an answer whose source failed cuts the answers behind it

An answer that is streamed waits for its turn on the connection of its caller, and meanwhile its source fails (another instance is gone, the backend server cuts an answer that stays unread). Nothing of the answer is written yet, but its head is, and then the connection has to end.

--- a/io/berylhttpserver/server_test.go
+++ b/io/berylhttpserver/server_test.go
@@ -230,3 +230,29 @@
 		t.Fatal("Drain did not return within 1 s after the last answer")
 	}
 }
+
+// brokenStream fails before its first byte.
+type brokenStream struct{ closed chan struct{} }
+
+func (brokenStream) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+func (s brokenStream) Close() error           { close(s.closed); return nil }
+
+// The source of an answer failed while that waited for its turn. Its head was written all the
+// same, and the end of the connection took the answers behind it along.
+func TestAnswerWhoseSourceFailedCutsAnswersBehindIt(t *testing.T) {
+	closed := make(chan struct{})
+	_, dial := startServer(t, func(_ context.Context, r *Request) *Answer {
+		switch r.Path {
+		case "/slow":
+			time.Sleep(100 * time.Millisecond)
+		case "/broken":
+			return &Answer{Status: 200, Header: http.Header{}, Length: 1000, Stream: brokenStream{closed}}
+		}
+		return textAnswer(r.Path)
+	})
+	c := dial()
+	_, err := io.WriteString(c, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\nGET /broken HTTP/1.1\r\nHost: h\r\n\r\nGET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	require.Equal(t, []string{"200 /slow", "502 ", "200 /ready"}, readAnswers(t, c, 3))
+	<-closed
+}
