Replace an answer whose source failed while it waited for its turn

What callers saw: the head of an answer, then the end of the connection, with the answers of all requests behind it lost. The source of the answer had failed while the answer waited for earlier ones on its connection.

Cause: the head was written without a look at the source. After that only the end of the connection tells that an answer is not whole.

Change: of a streamed answer that had to wait, the first part is read before the head is written. If there is none, the caller gets 502, or 504 if the time of the request was over, with the id of the request, and the connection goes on. It is logged ("answer replaced"). Answers that did not have to wait are written as before. A source that fails after some bytes can't be told from a whole one in time: its answer is still cut.

The status 504 and the id are set in io/berylproxy and have no test of their own.

--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -436,17 +436,24 @@
 // reply waits until prevWritten is closed and writes the answer. It closes written when
 // the answer is written or no further answer may be written.
 func (c *conn) reply(p *pendingRequest, written, prevWritten chan struct{}, a *Answer, closeAfter bool) {
-	<-prevWritten
-	if !c.server.guard(panicPart, func() { c.writeOrAbort(p, a, closeAfter) }) {
+	waited := true
+	select {
+	case <-prevWritten:
+		waited = false
+	default:
+		<-prevWritten
+	}
+	if !c.server.guard(panicPart, func() { c.writeOrAbort(p, a, closeAfter, waited) }) {
 		c.abortRequest(p, errPanic) // before written is closed, which lets the next answer be written
 	}
 	close(written)
 }
 
-// writeOrAbort writes the answer, or closes the connection if it can't be written whole.
-func (c *conn) writeOrAbort(p *pendingRequest, a *Answer, closeAfter bool) {
-	if a.Stream != nil {
-		defer func() { _ = a.Stream.Close() }() // It was read to its end, or the rest is not needed.
+// writeOrAbort writes the answer, or closes the connection if it can't be written whole. waited
+// is set if the answer had to wait for earlier ones.
+func (c *conn) writeOrAbort(p *pendingRequest, a *Answer, closeAfter, waited bool) {
+	if stream := a.Stream; stream != nil {
+		defer func() { _ = stream.Close() }() // It was read to its end, or the rest is not needed.
 	}
 	if c.hasEnded() {
 		c.removeUnanswered(p) // The last answer may still be on its way.
@@ -463,6 +470,15 @@
 		c.ended = true
 	}
 	c.mu.Unlock()
+	if waited && a.Stream != nil && !a.noBody() {
+		// Its source may have failed meanwhile. After its head, an answer can't be replaced.
+		first := newPrefetched(a.Stream)
+		if err := first.failure(); err != nil && c.ctx.Err() == nil {
+			a = a.failed(err)
+		} else {
+			a.Stream = first
+		}
+	}
 	c.setWriteTimeout()
 	c.bw = c.server.writer(c.nc)
 	err := c.write(a, closeConn)
--- a/io/berylhttpserver/write.go
+++ b/io/berylhttpserver/write.go
@@ -21,7 +21,7 @@
 	if err := a.Header.Write(w); err != nil {
 		return err
 	}
-	noBody := a.OmitBody || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified || a.Status < 200
+	noBody := a.noBody()
 	length := a.Length
 	if a.Stream == nil && (!a.OmitBody || len(a.Body) > 0) {
 		length = int64(len(a.Body))
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -64,7 +64,9 @@
 			if reply.Stream != nil {
 				reply.Stream = limit.Stream(reply.Stream)
 			}
-			return p.newAnswer(reply, limit.Cancel)
+			a := p.newAnswer(reply, limit.Cancel)
+			a.OnFailure = func(err error) *berylhttpserver.Answer { return p.replaceFailed(ctx, q, err) }
+			return a
 		}
 		if !p.shouldRetry(ctx, q, st, reply) {
 			break
@@ -74,6 +76,17 @@
 	return p.finishUnanswered(parent, ctx, q, st)
 }
 
+// replaceFailed returns the answer to a request whose own answer failed while it waited for
+// its turn on the connection of its caller.
+func (p *Proxy) replaceFailed(ctx context.Context, q *request, err error) *berylhttpserver.Answer {
+	status := http.StatusBadGateway
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		status = http.StatusGatewayTimeout
+	}
+	p.Log.Warn().Err(err).Str("id", q.Header.Get(p.Names.RequestID)).Str("server", q.serverID).Int("status", status).Msg("answer replaced")
+	return p.refuse(q, status, berylreply.ReasonConnectionBroken, 0)
+}
+
 // retryAnswered reports whether to retry a request that was answered with an error. The
 // answer is then kept in case no retry succeeds.
 func (p *Proxy) retryAnswered(ctx context.Context, q *request, st *attemptState, reply *berylreply.Reply) bool {
