--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -15,6 +15,7 @@
 	"berylspan/core/berylserverstatus"
 	"berylspan/io/berylhttpserver"
 	"berylspan/io/berylreply"
+	"berylspan/io/beryltimelimit"
 )
 
 const (
@@ -41,7 +42,7 @@
 		q.reason = berylreply.ReasonCanceled
 		return &berylhttpserver.Answer{Abort: true}
 	}
-	ctx, cancel := context.WithDeadline(parent, q.outgoing.Deadline)
+	ctx, limit := beryltimelimit.New(parent, q.outgoing.Deadline)
 	st := &attemptState{tried: map[string]bool{}}
 	p.recordForBudget(q.outgoing.Service)
 	for q.attempts < maxInstancesTried && ctx.Err() == nil {
@@ -60,16 +61,32 @@
 		q.reason = reply.Reason
 		q.queueTime += reply.QueueTime
 		if reply.Outcome == berylattempt.Answered && !p.retryAnswered(ctx, q, st, reply) {
-			return p.newAnswer(reply, cancel)
+			if reply.Stream != nil {
+				reply.Stream = limit.Stream(reply.Stream)
+			}
+			a := p.newAnswer(reply, limit.Cancel)
+			a.OnFailure = func(err error) *berylhttpserver.Answer { return p.replaceFailed(ctx, q, err) }
+			return a
 		}
 		if !p.shouldRetry(ctx, q, st, reply) {
 			break
 		}
 	}
-	defer cancel()
+	defer limit.Cancel()
 	return p.finishUnanswered(parent, ctx, q, st)
 }
 
+// replaceFailed returns the answer to a request whose own answer failed while it waited for
+// its turn on the connection of its caller.
+func (p *Proxy) replaceFailed(ctx context.Context, q *request, err error) *berylhttpserver.Answer {
+	status := http.StatusBadGateway
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		status = http.StatusGatewayTimeout
+	}
+	p.Log.Warn().Err(err).Str("id", q.Header.Get(p.Names.RequestID)).Str("server", q.serverID).Int("status", status).Msg("answer replaced")
+	return p.refuse(q, status, berylreply.ReasonConnectionBroken, 0)
+}
+
 // retryAnswered reports whether to retry a request that was answered with an error. The
 // answer is then kept in case no retry succeeds.
 func (p *Proxy) retryAnswered(ctx context.Context, q *request, st *attemptState, reply *berylreply.Reply) bool {
