Refuse a request whose header is late with 408

Callers whose request header stopped within a line until the header timeout were told 400, which says that the request is malformed. They don't repeat such a request; 408 says that it has not run. When connections end mid-line, the server wrote 400 to nobody.

Cause: bufio.Reader.ReadLine returns what it has of a line and drops the error, so that the parser fails on the cut line before it sees the timeout. This was known of the size limit only.

Now the limited reader keeps the error of the last read, which goes before that of the parser. A malformed header that has arrived is refused with 400 as before, as no read has failed then.

--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -252,12 +252,8 @@
 func (c *conn) readRequest(limits Limits, prevWritten chan struct{}) (chan struct{}, bool) {
 	written := make(chan struct{})
 	c.setReadTimeout(limits.HeaderTimeout)
-	c.limiter.Remaining = limits.MaxHeaderBytes
-	httpReq, err := http.ReadRequest(c.br)
-	if err != nil && c.limiter.Exceeded() {
-		err = beryllimitedreader.ErrLimit
-	}
-	c.limiter.Remaining = beryllimitedreader.Unlimited
+	c.limiter.Remaining, c.limiter.Err = limits.MaxHeaderBytes, nil
+	httpReq, err := c.readHeader()
 	if err != nil {
 		status := errorStatus(err)
 		if c.mustRefuse() {
@@ -317,6 +313,21 @@
 	return written, !closeAfter
 }
 
+// readHeader reads the header of a request. If it did not arrive, the error is that of the
+// connection or ErrLimit.
+func (c *conn) readHeader() (*http.Request, error) {
+	httpReq, err := http.ReadRequest(c.br)
+	switch {
+	case err == nil:
+	case c.limiter.Exceeded():
+		err = beryllimitedreader.ErrLimit
+	case c.limiter.Err != nil:
+		err = c.limiter.Err
+	}
+	c.limiter.Remaining = beryllimitedreader.Unlimited
+	return httpReq, err
+}
+
 // handle returns the answer to a request. endHandling must be called afterwards.
 func (c *conn) handle(p *pendingRequest, r *Request, prevWritten chan struct{}) *Answer {
 	if c.server.MustRunInOrder(r) {
--- a/io/beryllimitedreader/reader.go
+++ b/io/beryllimitedreader/reader.go
@@ -11,7 +11,8 @@
 // is meant to be read through a bufio.Reader: what that has buffered does not count again.
 type Reader struct {
 	R         io.Reader
-	Remaining int // bytes
+	Remaining int   // bytes
+	Err       error // of the last read from R; a parser may have failed on the cut line instead
 }
 
 // Unlimited is the number of remaining bytes that sets no limit.
@@ -34,5 +35,6 @@
 	}
 	n, err := r.R.Read(p)
 	r.Remaining -= n
+	r.Err = err
 	return n, err
 }
