Let the answer arrive that comes before the end of a long body

Callers that were refused, or answered, while they still sent more than 1 MB of a body got a reset connection, and could lose the answer that had been written.

Cause: after such an answer up to 1 MB of the body is discarded; then the connection was closed with bytes unread, which resets it. After an answer with Connection: close, the rest is read for half a second first; here the answer was written before it was known to be the last.

Evidence: TestAnswerBeforeEndOfLongBodyIsLost failed 10 of 10.

Now such a connection ends like after any last answer: the writing side is closed and the rest discarded for half a second.

Measured: the test passes 20 of 20, and with -race 3 of 3; io/berylhttpserver passes (once).

--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -197,7 +197,8 @@
 	defer c.cancel()
 	prevWritten := make(chan struct{})
 	close(prevWritten)
-	for ok := true; ok && c.waitForCapacity(); {
+	ok := true
+	for ok && c.waitForCapacity() {
 		c.setIdleTimeout()
 		if err := c.awaitRequest(); err != nil {
 			c.cancelIfDisconnected(err)
@@ -217,7 +218,10 @@
 	<-prevWritten // The caller may still wait for its answers.
 	c.cancel()
 	c.wg.Wait()
-	if c.hasEnded() {
+	if !ok && !c.hasEnded() {
+		c.linger() // A part of the last body was not read.
+	}
+	if !ok || c.hasEnded() {
 		// Closing a connection with unread bytes resets it, and the caller could then lose the
 		// last answer. The time for this is set by linger.
 		_, _ = io.Copy(io.Discard, c.nc)
