Make the long answer of a drain test before the stop begins

TestStopEndsWhileCallerDoesNotReadItsAnswer failed 1 of 1 with -race beside other packages: "1 h/long: handler" instead of "caller". Its handler does nothing but make the answer of 64 MB, which then had taken longer than the 0.4 s of the stop. Alone it passed 20 of 20 with and without -race. The answer is made before the stop now; what is checked is the same.

--- a/io/berylhttpserver/drain_test.go
+++ b/io/berylhttpserver/drain_test.go
@@ -129,9 +129,10 @@
 }
 
 func TestStopEndsWhileCallerDoesNotReadItsAnswer(t *testing.T) {
+	long := textAnswer(strings.Repeat("a", 64<<20)) // Making it may take longer than the stop.
 	s, reported, dial := startReportingServer(t, func(_ context.Context, r *Request) *Answer {
 		if r.Path == "/long" {
-			return textAnswer(strings.Repeat("a", 64<<20))
+			return long
 		}
 		return textAnswer("ready")
 	})
