Keep the user timeout of connections where TCP_INFO tells no window

Found in review: where TCP_INFO has zeros, or no window (kernels before 5.4), the check took everything for acknowledged, and a peer that was gone was found after 30 s, the write timeout, instead of 1.5 s. Now the option is raised only if TCP_INFO tells an open window first, and is lowered again when a check fails.

--- a/io/berylmesh/ackwatch.go
+++ b/io/berylmesh/ackwatch.go
@@ -11,7 +11,8 @@
 
 // ackWatch closes a connection whose peer does not acknowledge data within tcpUserTimeout
 // while a body is streamed on it. TCP_USER_TIMEOUT would also end a connection whose peer
-// acknowledges everything but reads slowly, as it applies to data that waits for the window.
+// acknowledges everything but reads slowly, as it applies to data that waits for the window. It
+// stays in force where TCP_INFO cannot replace it.
 type ackWatch struct {
 	nc   net.Conn
 	info func(raw syscall.RawConn) (*unix.TCPInfo, error)
@@ -19,7 +20,6 @@
 	mu        sync.Mutex
 	streaming bool // a body is being written
 	running   bool // a check is due
-	disabled  bool // the state of the connection cannot be read
 	acked     uint64
 	ackedAt   time.Time // when the peer last owed no acknowledgement or had sent one
 }
@@ -44,6 +44,15 @@
 	return err
 }
 
+func tcpInfo(raw syscall.RawConn) (*unix.TCPInfo, error) {
+	var info *unix.TCPInfo
+	var err error
+	if e := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); e != nil {
+		return nil, e
+	}
+	return info, err
+}
+
 // begin is called before a streamed body is written.
 func (w *ackWatch) begin() {
 	raw := w.rawConn()
@@ -53,7 +62,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.streaming = true
-	if w.running || w.disabled {
+	if w.running {
+		return
+	}
+	// Kernels that do not report the window, and sockets that are no TCP sockets, report 0.
+	if info, err := w.info(raw); err != nil || info.Snd_wnd == 0 {
 		return
 	}
 	if setUserTimeout(raw, writeTimeout) != nil {
@@ -80,9 +93,7 @@
 	}
 	info, err := w.info(raw)
 	if err != nil {
-		// Without it, only the option ends a connection whose peer is gone.
-		w.running, w.disabled = false, true
-		_ = setUserTimeout(raw, tcpUserTimeout) // Fails only if the connection is closed.
+		w.stop(raw)
 		return
 	}
 	now := time.Now()
@@ -94,20 +105,16 @@
 		_ = w.nc.Close() // It may be closed already.
 		return
 	case !w.streaming && info.Unacked == 0 && info.Notsent_bytes == 0:
-		w.running = false
-		_ = setUserTimeout(raw, tcpUserTimeout) // Fails only if the connection is closed.
+		w.stop(raw)
 		return
 	}
 	time.AfterFunc(ackCheckInterval, w.check)
 }
 
-func tcpInfo(raw syscall.RawConn) (*unix.TCPInfo, error) {
-	var info *unix.TCPInfo
-	var err error
-	if e := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); e != nil {
-		return nil, e
-	}
-	return info, err
+// stop ends the checks and puts the user timeout in force again. The caller holds the lock.
+func (w *ackWatch) stop(raw syscall.RawConn) {
+	w.running = false
+	_ = setUserTimeout(raw, tcpUserTimeout) // Fails only if the connection is closed.
 }
 
 // rawConn returns nil for a connection that gives no access to its socket.
