Refuse a long body of which the first part comes in a stop

What callers saw: beside a planned stop, an upload of more than 64 KB that was slow to arrive got 504 at the end of the stop. Its header had come shortly before the instance ceased to read requests, its first 64 KB after that; it was passed on then, and its server had less than 2.5 s for what needed up to 7.7 s.

Cause: a body of more than 64 KB is passed on once its first part is there, so the rule that a body must be whole 0.4 s later did not reach it.

TestLongBodyThatBeginsToComeInStopIsPassedOn fails 3 of 3 times on the code before:

--- FAIL: .../first_part_comes_in_the_stop:_refused (0.12s) expected: []string{"503 "} actual : []string{"200 /1"}

Change: while a stop no longer reads requests, a request with a streamed body is not started any more but refused with 503, which is true. One that has been started goes on as before.

TestRequestWhoseBodyComesLateInStopIsStarted now waits until the request before the stop has been started, which a case of it assumes; that case failed 1 of 10 times without this (no other line of the test is changed).

--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -44,7 +44,7 @@
 	readingStopped    bool
 	lastRead          bool      // no further request is read, even if one has arrived
 	bodyArriving      bool      // that of a request which is not started before it is whole
-	bodiesEnded       bool      // no request is started whose body is not whole
+	bodiesEnded       bool      // no further body is read before its request is started
 	answerDeadline    time.Time // no request is started any more and answers must be written by then; zero if not set
 	ended             bool      // set by the last answer and by abort
 	err               error     // why the connection ended without an answer
--- a/io/berylhttpserver/drain_test.go
+++ b/io/berylhttpserver/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -404,14 +405,15 @@
 		name, send, rest string
 		delay            time.Duration // of the rest, after the stop began
 		busy             int
+		started          string // path of the request that is started before the stop
 		want             []string
 	}{
-		{"whole in time: run", "PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + part, part, early, 1, []string{"200 /1"}},
-		{"late: refused", "PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + part, part, late, 1, []string{"503 refused /1"}},
-		{"late behind a running one: refused", "GET /slow HTTP/1.1\r\nHost: h\r\n\r\nPUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + part, part, late, 2, []string{"200 /slow", "503 refused /1"}},
-		{"long and late: is passed on while it arrives", "PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 66536\r\n\r\n" + long, part, late, 1, []string{"200 /1"}},
-		{"long and late behind a running one, before which it must not run: refused", "GET /slow HTTP/1.1\r\nHost: h\r\n\r\nPOST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 66536\r\n\r\n" + long, part, late, 2, []string{"200 /slow", "503 refused /1"}},
-		{"whole behind a running one, before which it must not run: run", "GET /slow HTTP/1.1\r\nHost: h\r\n\r\nPOST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", "", 0, 2, []string{"200 /slow", "200 /1"}},
+		{"whole in time: run", "PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + part, part, early, 1, "", []string{"200 /1"}},
+		{"late: refused", "PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + part, part, late, 1, "", []string{"503 refused /1"}},
+		{"late behind a running one: refused", "GET /slow HTTP/1.1\r\nHost: h\r\n\r\nPUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + part, part, late, 2, "/slow", []string{"200 /slow", "503 refused /1"}},
+		{"long and late: is passed on while it arrives", "PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 66536\r\n\r\n" + long, part, late, 1, "/1", []string{"200 /1"}},
+		{"long and late behind a running one, before which it must not run: refused", "GET /slow HTTP/1.1\r\nHost: h\r\n\r\nPOST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 66536\r\n\r\n" + long, part, late, 2, "/slow", []string{"200 /slow", "503 refused /1"}},
+		{"whole behind a running one, before which it must not run: run", "GET /slow HTTP/1.1\r\nHost: h\r\n\r\nPOST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", "", 0, 2, "/slow", []string{"200 /slow", "200 /1"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -435,6 +437,10 @@
 			_, err := io.WriteString(nc, c.send)
 			require.NoError(t, err)
 			require.Eventually(t, func() bool { return s.Busy() == c.busy }, time.Second, time.Millisecond)
+			require.Eventually(t, func() bool {
+				_, ok := started.Load(c.started)
+				return ok || c.started == ""
+			}, time.Second, time.Millisecond)
 			start := time.Now()
 			go drainAndClose(s, work)
 			time.AfterFunc(c.delay, func() { _, _ = io.WriteString(nc, c.rest) }) // Its caller may have gone elsewhere.
@@ -446,3 +452,43 @@
 		})
 	}
 }
+
+// A request with a long body of which the first part came in a stop was passed on, and its
+// server had too little time left for it.
+func TestLongBodyThatBeginsToComeInStopIsPassedOn(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		before int // bytes of the body that come before the stop
+		want   []string
+	}{
+		{"first part came before the stop: passed on", maxBufferedBody, []string{"200 /1"}},
+		{"first part comes in the stop: refused", 1000, []string{"503 "}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			const length = 2 * maxBufferedBody
+			started := make(chan struct{})
+			s, reported, dial := startReportingServer(t, func(_ context.Context, r *Request) *Answer {
+				close(started)
+				n, err := io.Copy(io.Discard, r.Stream)
+				require.NoError(t, err)
+				require.Equal(t, int64(length-maxBufferedBody), n)
+				return textAnswer(r.Path)
+			})
+			nc := dial()
+			body := strings.Repeat("a", length)
+			_, err := fmt.Fprintf(nc, "PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", length, body[:c.before])
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return s.Busy() == 1 }, time.Second, time.Millisecond)
+			if c.before == maxBufferedBody {
+				<-started
+			}
+			go drainAndClose(s, 2*time.Second)
+			time.Sleep(100 * time.Millisecond)
+			_, err = io.WriteString(nc, body[c.before:])
+			require.NoError(t, err)
+			require.Equal(t, c.want, readAnswers(t, nc, 1))
+			require.Empty(t, reported.all())
+		})
+	}
+}
--- a/io/berylhttpserver/pending.go
+++ b/io/berylhttpserver/pending.go
@@ -42,7 +42,7 @@
 func (c *conn) beginHandling(p *pendingRequest, whole bool) (context.Context, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || c.isWorkEnded() || (c.bodiesEnded && !whole) {
+	if c.ended || c.isWorkEnded() || (c.readingStopped && !whole) {
 		return nil, false
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
--- a/io/berylhttpserver/server.go
+++ b/io/berylhttpserver/server.go
@@ -146,7 +146,8 @@
 // Drain stops accepting connections and reading requests. It waits until all requests that
 // were read are answered and all connections closed. Requests whose bodies are still arriving
 // after 400 ms, or half of timeout if that is less, are refused unless they have been started:
-// their callers can go elsewhere at once. After timeout it ends what is left and
+// their callers can go elsewhere at once. A request with a streamed body is no longer started
+// at all. After timeout it ends what is left and
 // waits for another answerTime at most: the context of requests that are being handled is
 // cancelled with ErrStopping as cause, requests that have not been started are refused, and
 // the answers of each connection are written in order. Answers whose bodies are being
