--- a/io/berylhttpserver/drain_test.go
+++ b/io/berylhttpserver/drain_test.go
@@ -393,18 +393,6 @@
 	}
 }
 
-// The answer before it gave a request that was arriving the idle timeout instead of its own.
-func TestHeaderTimeoutIsReplacedByIdleTimeout(t *testing.T) {
-	_, dial := startServer(t, func(context.Context, *Request) *Answer {
-		time.Sleep(50 * time.Millisecond)
-		return textAnswer("ok")
-	})
-	nc := dial()
-	_, err := io.WriteString(nc, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost:")
-	require.NoError(t, err)
-	require.Equal(t, []string{"200 ok", "408 "}, readAnswers(t, nc, 2))
-}
-
 // A request whose body came late in a stop was started when its answer could no longer come.
 func TestRequestWhoseBodyComesLateInStopIsStarted(t *testing.T) {
 	const (
