Serve nested calls while the stop of their instance waits for requests

Requests that a stop waited for failed: the calls that their backend server made later than 2.5 s after the stop began got "connection refused".

Cause: a backend server sends its calls to the listener of its own instance. Drain closed that at once and read no further request on kept connections, but the stop then waits until 0.8 s before the end of the grace for what runs at the backend server.

Now Drain keeps the listener and kept connections open as long as requests run or wait at the backend server beside, until its timeout at the latest. Of the requests that begin to arrive in that time, nested calls (no key, a rule without authentication) are served. All others are refused with 503 in their turn, not started, and their connections close. What had begun to arrive before goes on as it did, also its body, which must be whole after 400 ms; that of a nested call need not. When nothing runs there any more, the listener is closed and the drain goes on as before, so a stop doesn't get longer: all that runs there had been waited for already.

--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -44,7 +44,10 @@
 	readingStopped    bool
 	lastRead          bool      // no further request is read, even if one has arrived
 	bodyArriving      bool      // that of a request which is not started before it is whole
-	bodiesEnded       bool      // no request is started whose body is not whole
+	bodiesEnded       bool      // no request is started whose body is not whole, see mustBeWhole
+	restricted        bool      // requests that begin to arrive later are late
+	nextIsLate        bool      // the next request to be read is late
+	late              bool      // the request that is being read is late: it is refused unless the server serves it while it stops
 	answerDeadline    time.Time // no request is started any more and answers must be written by then; zero if not set
 	ended             bool      // set by the last answer and by abort
 	err               error     // why the connection ended without an answer
@@ -89,11 +92,8 @@
 func (c *conn) endBodies() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.bodiesEnded {
-		return
-	}
 	c.bodiesEnded = true
-	if c.bodyArriving && !c.ended {
+	if c.bodyArriving && c.mustBeWhole(c.late) && !c.ended {
 		c.unblockReader()
 	}
 }
@@ -103,7 +103,7 @@
 func (c *conn) beginBody() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.bodiesEnded || c.isWorkEnded() || c.ended {
+	if c.mustBeWhole(c.late) || c.isWorkEnded() || c.ended {
 		return false
 	}
 	c.bodyArriving = true
@@ -155,6 +155,7 @@
 		return false
 	}
 	c.reading, c.arriving, c.lastRead = true, true, c.readingStopped
+	c.late, c.nextIsLate = c.nextIsLate, c.restricted
 	return true
 }
 
@@ -187,7 +188,7 @@
 func (c *conn) setIdleTimeout() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.pending) == 0 && !c.arriving && !c.readingStopped && !c.ended {
+	if len(c.pending) == 0 && !c.arriving && !c.readingStopped && !c.isUnblockedByRestrict() && !c.ended {
 		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout))
 	}
 }
@@ -201,6 +202,9 @@
 	for ok && c.waitForCapacity() {
 		c.setIdleTimeout()
 		if err := c.awaitRequest(); err != nil {
+			if c.resumeWaiting(err) {
+				continue
+			}
 			c.cancelIfDisconnected(err)
 			break
 		}
@@ -277,6 +281,15 @@
 	r.CallerGone = func() bool { return berylsocket.Peek(c.nc) == berylsocket.Closed }
 	p := &pendingRequest{id: c.server.requestID(r.Header), host: r.Host, path: r.Path, receivedAt: r.ReceivedAt, wait: WaitBody}
 	c.addPending(p)
+	if p.late && !c.server.serves(r) {
+		c.setWait(p, WaitEarlierAnswer)
+		c.wg.Go(func() {
+			a := &Answer{Abort: true} // unless refuse returns
+			c.server.guard(panicPart, func() { a = c.server.refuse(r) })
+			c.reply(p, written, prevWritten, a, true)
+		})
+		return written, false
+	}
 	closeAfter := httpReq.Close || !httpReq.ProtoAtLeast(1, 1)
 	if httpReq.ContentLength > limits.MaxBodyBytes {
 		c.wg.Go(func() {
@@ -413,7 +426,7 @@
 func (c *conn) mustRefuseBody() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.bodiesEnded || c.isWorkEnded()
+	return c.mustBeWhole(c.late) || c.isWorkEnded()
 }
 
 // hasEnded reports whether no further answers are written on the connection.
--- a/io/berylhttpserver/drain_test.go
+++ b/io/berylhttpserver/drain_test.go
@@ -269,11 +269,14 @@
 		name      string
 		end       func(s *Server)
 		readFirst bool
+		needed    bool // while it stops
 	}{
-		{"idle timeout, bytes unread", func(*Server) { time.Sleep(2 * idleTimeout) }, false},
-		{"idle timeout, bytes read", func(*Server) { time.Sleep(2 * idleTimeout) }, true},
-		{"stop, bytes unread", func(s *Server) { go s.Drain(time.Second, answerTime) }, false},
-		{"stop, bytes read", func(s *Server) { go s.Drain(time.Second, answerTime) }, true},
+		{"idle timeout, bytes unread", func(*Server) { time.Sleep(2 * idleTimeout) }, false, false},
+		{"idle timeout, bytes read", func(*Server) { time.Sleep(2 * idleTimeout) }, true, false},
+		{"stop, bytes unread", func(s *Server) { go s.Drain(time.Second, answerTime) }, false, false},
+		{"stop, bytes read", func(s *Server) { go s.Drain(time.Second, answerTime) }, true, false},
+		{"stop while needed, bytes unread", func(s *Server) { go s.Drain(time.Second, answerTime) }, false, true},
+		{"stop while needed, bytes read", func(s *Server) { go s.Drain(time.Second, answerTime) }, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			tcp, err := net.Listen("tcp", "127.0.0.1:0")
@@ -284,7 +287,7 @@
 				limits := testLimits()
 				limits.IdleTimeout = idleTimeout
 				return limits
-			})
+			}, ServeWhileStopping(func() bool { return c.needed }, func(*Request) bool { return false }))
 			go s.Run(context.Background())
 			defer func() { close(ln); s.Close() }()
 			client, err := net.Dial("tcp", tcp.Addr().String())
--- a/io/berylhttpserver/pending.go
+++ b/io/berylhttpserver/pending.go
@@ -11,6 +11,7 @@
 	id, host, path string // empty if its header could not be read
 	receivedAt     time.Time
 	wait           Wait
+	late           bool                    // it began to arrive after restrict
 	cancel         context.CancelCauseFunc // while it is being handled, else nil
 }
 
@@ -21,7 +22,7 @@
 func (c *conn) addPending(p *pendingRequest) {
 	c.mu.Lock()
 	c.pending = append(c.pending, p)
-	c.arriving = false
+	c.arriving, p.late = false, c.late
 	c.mu.Unlock()
 }
 
@@ -42,7 +43,7 @@
 func (c *conn) beginHandling(p *pendingRequest, whole bool) (context.Context, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || c.isWorkEnded() || (c.bodiesEnded && !whole) {
+	if c.ended || c.isWorkEnded() || (c.mustBeWhole(p.late) && !whole) {
 		return nil, false
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
--- a/io/berylhttpserver/server.go
+++ b/io/berylhttpserver/server.go
@@ -40,6 +40,8 @@
 	requestID          func(h http.Header) string
 	onUnanswered       func(u Unanswered)
 	refuse             func(r *Request) *Answer
+	isNeeded           func() bool
+	serves             func(r *Request) bool
 	ln                 net.Listener
 	writers            sync.Pool
 	mu                 sync.Mutex
@@ -47,6 +49,7 @@
 	accepting          bool // Run has not returned
 	closed             bool // new connections are closed
 	keepAlivesDisabled bool // also applies to new connections
+	restricted         bool // as above
 	wg                 sync.WaitGroup
 }
 
@@ -61,6 +64,7 @@
 	s := &Server{
 		Handle: handle, MustRunInOrder: mustRunInOrder, Limits: limits, guard: berylpanic.Unguarded,
 		requestID: func(http.Header) string { return "" }, onUnanswered: func(Unanswered) {}, refuse: refuseUnavailable,
+		isNeeded: func() bool { return false }, serves: func(*Request) bool { return false },
 		ln: ln, conns: map[*conn]struct{}{},
 	}
 	for _, opt := range opts {
@@ -121,6 +125,9 @@
 	if s.keepAlivesDisabled {
 		c.disableKeepAlive()
 	}
+	if s.restricted {
+		c.restrictNew()
+	}
 	s.wg.Go(func() {
 		if !s.guard(panicPart, c.serve) {
 			c.abort(errPanic)
@@ -143,8 +150,8 @@
 	}
 }
 
-// Drain stops accepting connections and reading requests. It waits until all requests that
-// were read are answered and all connections closed. Requests whose bodies are still arriving
+// Drain stops accepting connections and reading requests; ServeWhileStopping may defer that. It
+// waits until all requests that were read are answered and all connections closed. Requests whose bodies are still arriving
 // after 400 ms, or half of timeout if that is less, are refused unless they have been started:
 // their callers can go elsewhere at once. After timeout it ends what is left and
 // waits for another answerTime at most: the context of requests that are being handled is
@@ -152,14 +159,16 @@
 // the answers of each connection are written in order. Answers whose bodies are being
 // streamed go on until then.
 func (s *Server) Drain(timeout, answerTime time.Duration) {
-	_ = s.ln.Close() // Fails only if it is closed already.
 	s.mu.Lock()
 	s.keepAlivesDisabled = true
 	s.mu.Unlock()
 	begin := time.Now()
+	endBodies := begin.Add(min(bodyTime, timeout/2))
 	endWork := begin.Add(timeout)
 	endAnswers := endWork.Add(answerTime)
-	s.pollConns(begin.Add(min(bodyTime, timeout/2)), func(c *conn) {
+	s.drainWhileNeeded(endBodies, endWork)
+	_ = s.ln.Close() // Fails only if it is closed already.
+	s.pollConns(endBodies, func(c *conn) {
 		c.disableKeepAlive()
 		c.stopReading()
 	})
@@ -184,11 +193,15 @@
 // come, or until deadline.
 func (s *Server) pollConns(deadline time.Time, f func(c *conn)) {
 	for ; time.Now().Before(deadline) && !s.isDrained(); time.Sleep(drainPollInterval) {
-		s.mu.Lock()
-		for c := range s.conns {
-			f(c)
-		}
-		s.mu.Unlock()
+		s.eachConn(f)
+	}
+}
+
+func (s *Server) eachConn(f func(c *conn)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		f(c)
 	}
 }
 
--- a/io/berylproxy/check.go
+++ b/io/berylproxy/check.go
@@ -67,6 +67,21 @@
 	return rule == nil || !rule.Idempotent
 }
 
+// IsNested reports whether a request is a call that a backend server makes while it runs
+// another request.
+func (p *Proxy) IsNested(r *berylhttpserver.Request) bool {
+	config := p.State().Config
+	if config == nil {
+		return false
+	}
+	rule := config.Match(r.Host, r.Path)
+	return rule != nil && isNested(config, rule, r.Header.Get(p.Names.APIKey))
+}
+
+func isNested(config *berylhttpconfig.Config, rule *berylrule.Rule, key string) bool {
+	return config.RequireKey && rule.AuthExempt && key == ""
+}
+
 // RuleName returns the name of the rule in force for a host and path, or "" if there is none.
 func (p *Proxy) RuleName(host, path string) string {
 	if config := p.State().Config; config != nil {
@@ -119,7 +134,7 @@
 	outgoing := &berylrequest.Request{
 		ID: id, Method: q.Method, URI: q.URI, Host: q.Host, Header: h, Body: q.Body, Stream: q.Stream, Length: q.Length,
 		Rule: q.rule.Name, Idempotent: q.rule.Idempotent, Rank: q.rule.Priority, Caller: p.Service(),
-		Nested: config.RequireKey && q.rule.AuthExempt && key == "",
+		Nested: isNested(config, q.rule, key),
 	}
 	timeout := timeLeft
 	if q.rule.Timeout > 0 {
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -166,7 +166,8 @@
 	s.gossip = berylgossip.New(udp, port(set.Port), s.hear(run), s.hearQuota, berylgossip.OnCrashes(s.hearCrashes), berylgossip.Guard(s.guard.Run))
 	s.face = berylhttpserver.New(callers, s.enter.Serve, s.enter.MustRunInOrder, s.limits, berylhttpserver.Guard(s.guard.Run),
 		berylhttpserver.OnUnanswered(func(h http.Header) string { return h.Get(s.names.RequestID) }, s.unanswered),
-		berylhttpserver.Refuse(s.enter.RefuseStopping))
+		berylhttpserver.Refuse(s.enter.RefuseStopping),
+		berylhttpserver.ServeWhileStopping(func() bool { return s.beside.Busy() > 0 }, s.enter.IsNested))
 	s.loops.Go(func() { s.gossip.Run(run) })
 	s.loops.Go(func() { s.view.Run(run) })
 	s.loops.Go(func() { s.beat(run) })
@@ -238,7 +239,8 @@
 )
 
 // Stop is a graceful shutdown: callers are told to go elsewhere, then other
-// instances are, and all are served until they have. What runs is finished, or ended in time
+// instances are, and all are served until they have. After that, calls of the backend server are served
+// as long as requests run there. What runs is finished, or ended in time
 // for its callers to be told.
 func (s *Sidecar) Stop() {
 	begin := time.Now()
