Disconnect all connections of an instance that is gone in its test

TestRequestToInstanceThatIsGoneEndsSoon failed twice in -count 20 beside load (30.5 to 30.7 s for the streamed body) and hung once (a whole body after a streamed one). The test's instance accepted one connection. A reply that is read before the sender has recorded that its streamed body was written leaves the connection unused (Mesh.Send), so the next request went to a connection that nobody accepted and whose kernel acknowledged it: no instance that is gone.

Now the instance accepts every connection, and the listener and all connections are cut off together. The bound and the cases are the same.

--- a/io/berylmesh/gone_test.go
+++ b/io/berylmesh/gone_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,13 +19,11 @@
 	"golang.org/x/sys/unix"
 )
 
-// disconnect makes the kernel drop everything that arrives on a connection unacknowledged, as
-// if the other end could no longer reach this one.
-func disconnect(t *testing.T, nc net.Conn) {
+// disconnect makes the kernel drop everything that arrives on a connection or listener
+// unacknowledged, as if the other end could no longer reach this one.
+func disconnect(t *testing.T, sc syscall.Conn) {
 	t.Helper()
-	tc, ok := nc.(*net.TCPConn)
-	require.True(t, ok)
-	raw, err := tc.SyscallConn()
+	raw, err := sc.SyscallConn()
 	require.NoError(t, err)
 	dropAll := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
 	require.NoError(t, raw.Control(func(fd uintptr) {
@@ -32,6 +32,62 @@
 	require.NoError(t, err)
 }
 
+// gonePeer is an instance that answers requests until it can no longer be reached. Not every
+// connection with a streamed request body is used again, so the next request may come on another.
+type gonePeer struct {
+	t  *testing.T
+	ln net.Listener
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (p *gonePeer) serve(m *Mesh) {
+	for {
+		nc, err := p.ln.Accept()
+		if err != nil {
+			return
+		}
+		p.mu.Lock()
+		p.conns = append(p.conns, nc)
+		p.mu.Unlock()
+		go func() {
+			c := newConn(nc)
+			for {
+				req, err := m.readRequest(c)
+				if err != nil {
+					return
+				}
+				if req.Stream != nil {
+					_, _ = io.Copy(io.Discard, req.Stream)
+				}
+				_ = m.writeReply(c, req, &berylreply.Reply{Outcome: berylattempt.Answered, Status: 200, Header: http.Header{}})
+			}
+		}()
+	}
+}
+
+func (p *gonePeer) disconnect() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sc, ok := p.ln.(syscall.Conn)
+	require.True(p.t, ok)
+	disconnect(p.t, sc)
+	for _, nc := range p.conns {
+		sc, ok := nc.(syscall.Conn)
+		require.True(p.t, ok)
+		disconnect(p.t, sc)
+	}
+}
+
+func (p *gonePeer) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, nc := range p.conns {
+		_ = nc.Close()
+	}
+}
+
 // endless yields bytes without end.
 type endless struct{}
 
@@ -62,28 +118,9 @@
 			require.NoError(t, err)
 			m := New(berylheadernames.Default())
 			t.Cleanup(func() { _ = ln.Close(); m.Close() })
-			gone := make(chan struct{})
-			go func() {
-				nc, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				c := newConn(nc)
-				for range tc.requests {
-					req, err := m.readRequest(c)
-					if err != nil {
-						return
-					}
-					if req.Stream != nil {
-						_, _ = io.Copy(io.Discard, req.Stream)
-					}
-					_ = m.writeReply(c, req, &berylreply.Reply{Outcome: berylattempt.Answered, Status: 200, Header: http.Header{}})
-				}
-				<-gone
-				t.Cleanup(func() { _ = nc.Close() }) // The connection must not be collected, which closes it, while the test runs.
-				disconnect(t, nc)
-				gone <- struct{}{}
-			}()
+			peer := &gonePeer{t: t, ln: ln}
+			t.Cleanup(peer.close)
+			go peer.serve(m)
 			for range tc.requests {
 				req := newRequest("1")
 				if tc.stream {
@@ -91,8 +128,7 @@
 				}
 				require.Equal(t, berylattempt.Answered, m.Send(context.Background(), ln.Addr().String(), req).Outcome)
 			}
-			gone <- struct{}{}
-			<-gone
+			peer.disconnect()
 			time.Sleep(tc.delay)
 			req := newRequest("2")
 			if tc.body != nil {
@@ -122,7 +158,9 @@
 	_, err = io.CopyN(io.Discard, reply.Reader(), 100<<10)
 	require.NoError(t, err)
 	go func() { _, _ = io.Copy(io.Discard, reply.Reader()) }() // Keeps the window open.
-	disconnect(t, nc)
+	sc, ok := nc.(syscall.Conn)
+	require.True(t, ok)
+	disconnect(t, sc)
 	require.WithinDuration(t, time.Now(), <-ended, maxDetection)
 }
 
