review: spread the uploads of cases 1 and 2 over all servers

Cause: one of five runs of case 1 sent nothing to the crashed server. Change: servers work longer, so that the placement uses all of them.

--- a/review/standin/bodyhole.go
+++ b/review/standin/bodyhole.go
@@ -107,7 +107,8 @@
 func (w *World) beginUploads(kind string) {
 	w.AddNode("front", "z-a", 40)
 	for range uploadServers {
-		w.AddNode("back", "z-a", 40)
+		n := w.AddNode("back", "z-a", 8)
+		n.up.Work = func(*http.Request) time.Duration { return 150 * time.Millisecond } // So that all servers have work.
 	}
 	w.store.Put("op/config", uploadConfig(kind))
 	w.Begin()
