--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,7 +13,7 @@
 // main runs a case: standin CASE RECORD. It exits with 1 if the rule was broken, 0 if it held and 2
 // if the case could not run. TROUBLE=0 leaves out the disruption.
 func main() {
-	cases := map[string]func(w *World) bool{"body-hole": bodyHole, "body-again": bodyAgain, "slow-lender": slowLender, "drain-queue": drainQueue, "mixed-faults": mixedFaults}
+	cases := map[string]func(w *World) bool{"body-hole": bodyHole, "body-again": bodyAgain, "slow-lender": slowLender, "drain-queue": drainQueue, "crash-again": crashAgain, "mixed-faults": mixedFaults}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fail("usage: standin CASE RECORD")
 	}
--- a/review/standin/slowlender.go
+++ b/review/standin/slowlender.go
@@ -71,7 +71,7 @@
 	for _, n := range w.nodes {
 		all = append(all, n.up.Runs()...)
 	}
-	slices.SortFunc(all, func(a, b Run) int { return a.At.Compare(b.At) })
+	sortRuns(all)
 	most, first := 0, 0
 	var from time.Time
 	for i, r := range all {
@@ -87,3 +87,8 @@
 	fmt.Printf("most requests in %v: %d from %.1f s; allowed: %.0f\n", quotaWindow, most, w.At(from), bound)
 	return float64(most) <= bound
 }
+
+// sortRuns sorts runs by their time.
+func sortRuns(runs []Run) {
+	slices.SortFunc(runs, func(a, b Run) int { return a.At.Compare(b.At) })
+}
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -26,6 +26,11 @@
 	// connection.
 	Answer func(c net.Conn, br *bufio.Reader, r *http.Request, id string, body []byte) bool
 
+	// Crashes tells whether a request with the digest of its body ends the server, nil for never.
+	// Crashed is called after that.
+	Crashes func(bodyDigest string) bool
+	Crashed func()
+
 	mu        sync.Mutex
 	born      int64
 	ln        net.Listener
@@ -178,6 +183,13 @@
 	u.runs = append(u.runs, Run{ID: id, Path: r.URL.Path, Tenant: r.Header.Get("X-Tenant-Id"), Caller: r.Header.Get("X-Caller-Service"), Server: u.id, At: at, BodyLen: len(body), BodyDigest: digest(body)})
 	u.mu.Unlock()
 	u.w.Note("server %s: runs %s %s (arrived %.3f) with a body of %d bytes, digest %s", u.id, id, r.URL.Path, u.w.At(arrived), len(body), digest(body))
+	if u.Crashes != nil && u.Crashes(digest(body)) {
+		<-u.sem
+		u.w.Note("server %s crashes at %s", u.id, id)
+		u.Stop()
+		go u.Crashed()
+		return false
+	}
 	ended := "whole"
 	select {
 	case <-time.After(u.Work(r)):
