--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -58,8 +58,10 @@
 }
 
 func newUpstream(w *World, id, service, zone, addr string, slots int) *Upstream {
-	return &Upstream{w: w, id: id, service: service, zone: zone, addr: addr, slots: slots, sem: make(chan struct{}, slots),
-		Work: func(*http.Request) time.Duration { return 10 * time.Millisecond }, conns: map[net.Conn]bool{}}
+	return &Upstream{
+		w: w, id: id, service: service, zone: zone, addr: addr, slots: slots, sem: make(chan struct{}, slots),
+		Work: func(*http.Request) time.Duration { return 10 * time.Millisecond }, conns: map[net.Conn]bool{},
+	}
 }
 
 // Start starts a lifetime of the server.
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -120,8 +120,10 @@
 		"self":     map[string]any{"node": n.name, "role": "daemon", "machine_class": "sidecar", "serves": []string{"sidecar"}, "ip": n.host, "zone": zone, "region": "r", "app_addr": at(0), "service": service},
 		"network":  map[string]any{"listen": map[string]any{"inbound": at(3), "outbound": n.outbound, "ready": n.ready}, "internal_ports": []int{base + 4, base + 19}, "seeds": []string{}},
 		"platform": map[string]any{"discovery": "platform", "entry": "static", "heartbeat_s": 1.5, "platform": map[string]any{"address": n.storeAt.addr, "form": "read", "reads_per_s": 2000, "history_s": 20}},
-		"terms": map[string]any{"bounds": map[string]any{"stable_window_s": stableWindow.Seconds(), "drain_s": drainTime.Seconds(), "grace_s": graceTime.Seconds(), "config_apply_s": configApply.Seconds(),
-			"quota_window_s": 5, "quota_overshoot": 0.25, "quota_slack": 20, "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 50}},
+		"terms": map[string]any{"bounds": map[string]any{
+			"stable_window_s": stableWindow.Seconds(), "drain_s": drainTime.Seconds(), "grace_s": graceTime.Seconds(), "config_apply_s": configApply.Seconds(),
+			"quota_window_s": 5, "quota_overshoot": 0.25, "quota_slack": 20, "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 50,
+		}},
 	})
 	check(err)
 	check(os.WriteFile(n.settings, data, 0o600))
