--- a/review/standin/mixedfaults.go
+++ b/review/standin/mixedfaults.go
@@ -16,7 +16,8 @@
 	"time"
 )
 
-type crun struct {
+// serverRun is a request that a server ran and the answer that it meant to give.
+type serverRun struct {
 	id, server, sig, bodyDigest, answerDigest string
 	bodyLen                                   int
 	at                                        time.Time
@@ -24,19 +25,21 @@
 	status                                    int
 }
 
-type chaos struct {
+// mixed is the play of mixed faults: what servers ran, and the share of answers that are faulty.
+type mixed struct {
 	w    *World
 	mu   sync.Mutex
-	runs []crun
+	runs []serverRun
 	n    int
 	p    float64
 }
 
+// answerBody returns a body of about n bytes that tells whose it is.
 func answerBody(sig string, n int) []byte {
 	return bytes.Repeat([]byte(sig+"|"), n/(len(sig)+1)+1)
 }
 
-func (ch *chaos) serve(u *Upstream, ln net.Listener) {
+func (ch *mixed) serve(u *Upstream, ln net.Listener) {
 	for {
 		c, err := ln.Accept()
 		if err != nil {
@@ -46,9 +49,10 @@
 	}
 }
 
+// rst resets a connection.
 func rst(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() }
 
-func (ch *chaos) conn(u *Upstream, c net.Conn) {
+func (ch *mixed) conn(u *Upstream, c net.Conn) {
 	defer c.Close()
 	br := bufio.NewReader(c)
 	var wmu sync.Mutex
@@ -126,7 +130,7 @@
 		ch.mu.Unlock()
 		sizes := []int{50, 3000, 70_000, 300_000, 600_000}
 		ab := answerBody(sig, sizes[rand.Intn(len(sizes))])
-		run := crun{id: id, server: u.id, sig: sig, bodyLen: len(body), bodyDigest: digest(body), answerDigest: digest(ab), at: time.Now(), status: 200}
+		run := serverRun{id: id, server: u.id, sig: sig, bodyLen: len(body), bodyDigest: digest(body), answerDigest: digest(ab), at: time.Now(), status: 200}
 		if early {
 			run.bodyDigest = ""
 		}
@@ -237,7 +241,8 @@
 	}
 }
 
-type creq struct {
+// clientRequest is a request as its client sent it and what it got.
+type clientRequest struct {
 	id, method, path, digest string
 	unsafe                   bool
 	body                     []byte
@@ -249,7 +254,7 @@
 	ended                    time.Time
 }
 
-func (ch *chaos) client(n *Node, seed int64, stop time.Time, all *[]*creq, amu *sync.Mutex) {
+func (ch *mixed) client(n *Node, seed int64, stop time.Time, all *[]*clientRequest, amu *sync.Mutex) {
 	rnd := rand.New(rand.NewSource(seed))
 	k := 0
 	for time.Now().Before(stop) {
@@ -264,11 +269,11 @@
 			if rnd.Intn(3) == 0 {
 				batch = 1 + rnd.Intn(4)
 			}
-			var reqs []*creq
+			var reqs []*clientRequest
 			var out bytes.Buffer
 			for range batch {
 				k++
-				q := &creq{id: fmt.Sprintf("c%d-%d", seed, k), method: "GET", path: "/safe/x"}
+				q := &clientRequest{id: fmt.Sprintf("c%d-%d", seed, k), method: "GET", path: "/safe/x"}
 				if batch == 1 {
 					switch rnd.Intn(4) {
 					case 0:
@@ -365,7 +370,7 @@
 // mixedFaults is no case: servers misbehave in many ways at once, for requests and answers of all
 // lengths. P is the share of faulty answers; ROLL, FREEZE and FAULTS choose further disruptions.
 func mixedFaults(w *World) bool {
-	ch := &chaos{w: w, p: 0.25}
+	ch := &mixed{w: w, p: 0.25}
 	if s := os.Getenv("P"); s != "" {
 		ch.p, _ = strconv.ParseFloat(s, 64)
 	}
@@ -391,7 +396,7 @@
 		"tenants":  map[string]any{"acme": map[string]any{"api_keys": []string{"k-acme"}}},
 	})
 	w.Begin()
-	var all []*creq
+	var all []*clientRequest
 	var amu sync.Mutex
 	var wg sync.WaitGroup
 	stop := time.Now().Add(40 * time.Second)
@@ -430,7 +435,7 @@
 	time.Sleep(8 * time.Second)
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
-	bySig, byID := map[string]crun{}, map[string][]crun{}
+	bySig, byID := map[string]serverRun{}, map[string][]serverRun{}
 	for _, r := range ch.runs {
 		bySig[r.sig] = r
 		byID[r.id] = append(byID[r.id], r)
