Don't retry a streamed upload that a server answered with an error

Cause: retryAnswered did not ask whether the body was streamed. The first attempt had read the stream to its end, so the second one sent what was buffered and ended the body.

--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -90,7 +90,8 @@
 // retryAnswered reports whether to retry a request that was answered with an error. The
 // answer is then kept in case no retry succeeds.
 func (p *Proxy) retryAnswered(ctx context.Context, q *request, st *attemptState, reply *berylreply.Reply) bool {
-	if !reply.Outcome.MayRetry(q.rule.Idempotent, reply.Status) || reply.Stream != nil || !p.takeRetry(ctx, q, st) {
+	bodyRead := q.outgoing.Stream != nil // The first attempt has read a streamed body.
+	if !reply.Outcome.MayRetry(q.rule.Idempotent, reply.Status) || reply.Stream != nil || bodyRead || !p.takeRetry(ctx, q, st) {
 		return false
 	}
 	st.failedAnswer = reply
