Send a streamed upload to another server only whole

Cause: shouldRetry let a streamed body be sent again after "no connection", which was meant for an instance that could not be reached. The instance beside a crashed server gives the same reason, after a part of the stream has been read and sent there.

Change: the reason of a failure no longer decides. berylupload gives each attempt a reader of its own, knows whether a reader of an earlier one began to read, and fails readers of attempts that have ended. Every attempt after the first needs such a reader; without one the request is refused as not run if it certainly did not run, as unknown otherwise. The mesh takes the stream before it starts its writer, so that a late writer can't take the stream of the next attempt.

The Connect face holds requests whole in memory and is not affected.

--- a/io/berylmesh/mesh.go
+++ b/io/berylmesh/mesh.go
@@ -191,9 +191,10 @@
 		written <- nil
 		return written
 	}
-	go func() { // Ends at the latest when the connection is closed and the stream has ended.
+	stream := req.Stream // The sender may set another one for a later attempt.
+	go func() {          // Ends at the latest when the connection is closed and the stream has ended.
 		err := berylpanic.ErrPanic
-		m.guard("request body", func() { err = c.writeChunks(req.Stream) })
+		m.guard("request body", func() { err = c.writeChunks(stream) })
 		var source sourceError
 		if errors.As(err, &source) || errors.Is(err, berylpanic.ErrPanic) {
 			c.close() // The instance must not take the incomplete body for a complete one.
--- a/io/berylproxy/check.go
+++ b/io/berylproxy/check.go
@@ -16,6 +16,7 @@
 	"berylspan/io/berylhttpserver"
 	"berylspan/io/berylreply"
 	"berylspan/io/berylrequest"
+	"berylspan/io/berylupload"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -39,7 +40,8 @@
 	account    *berylaccount.Account
 	tokenTaken bool // whether a rate limit token of the workspace was taken
 	outgoing   *berylrequest.Request
-	elapsed    time.Duration // estimate of the time spent on it before it came to this instance
+	upload     *berylupload.Upload // streamed body, nil without one
+	elapsed    time.Duration       // estimate of the time spent on it before it came to this instance
 
 	attempts  int
 	serverID  string        // backend server of the last attempt
@@ -136,6 +138,9 @@
 		Rule: q.rule.Name, Idempotent: q.rule.Idempotent, Rank: q.rule.Priority, Caller: p.Service(),
 		Nested: isNested(config, q.rule, key),
 	}
+	if q.Stream != nil {
+		q.upload = berylupload.New(q.Stream)
+	}
 	timeout := timeLeft
 	if q.rule.Timeout > 0 {
 		timeout = min(timeout, q.rule.Timeout)
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -50,7 +50,7 @@
 			break
 		}
 		to, ok := p.chooseInstance(q, st)
-		if !ok {
+		if !ok || !q.startBody() {
 			break
 		}
 		q.attempts++
@@ -90,8 +90,7 @@
 // retryAnswered reports whether to retry a request that was answered with an error. The
 // answer is then kept in case no retry succeeds.
 func (p *Proxy) retryAnswered(ctx context.Context, q *request, st *attemptState, reply *berylreply.Reply) bool {
-	bodyRead := q.outgoing.Stream != nil // The first attempt has read a streamed body.
-	if !reply.Outcome.MayRetry(q.rule.Idempotent, reply.Status) || reply.Stream != nil || bodyRead || !p.takeRetry(ctx, q, st) {
+	if !reply.Outcome.MayRetry(q.rule.Idempotent, reply.Status) || reply.Stream != nil || !q.canRepeat() || !p.takeRetry(ctx, q, st) {
 		return false
 	}
 	st.failedAnswer = reply
@@ -109,9 +108,6 @@
 			st.quarantined, st.retryAfter = true, reply.RetryAfter
 			return false
 		}
-		if q.outgoing.Stream != nil && reply.Reason != berylreply.ReasonNoConnection {
-			return false // Part of the streamed body has been consumed.
-		}
 		if reply.Reason == berylreply.ReasonQueueFull || reply.Reason == berylreply.ReasonExpired || reply.Reason == berylreply.ReasonThrottled {
 			st.overloaded = true
 			if st.retryAfter == 0 || reply.RetryAfter < st.retryAfter {
@@ -121,16 +117,32 @@
 				return false // A trial may be running there.
 			}
 		}
-		return reply.Reason != berylreply.ReasonExpired
+		return reply.Reason != berylreply.ReasonExpired && q.canRepeat()
 	case berylattempt.Unknown:
 		st.maybeRan = true
 	}
-	if !reply.Outcome.MayRetry(q.rule.Idempotent, 0) || q.outgoing.Stream != nil {
+	if !reply.Outcome.MayRetry(q.rule.Idempotent, 0) || !q.canRepeat() {
 		return false
 	}
 	return p.takeRetry(ctx, q, st)
 }
 
+// startBody sets the streamed body of the next attempt. It returns false if the whole body
+// cannot be sent any more.
+func (q *request) startBody() bool {
+	if q.upload == nil {
+		return true
+	}
+	stream, ok := q.upload.Attempt()
+	if ok {
+		q.outgoing.Stream = stream
+	}
+	return ok
+}
+
+// canRepeat reports whether the whole body can be sent once more.
+func (q *request) canRepeat() bool { return q.upload == nil || q.upload.CanRepeat() }
+
 // takeRetry counts an arrival at a backend server and reports whether the request may
 // be sent once more. It then takes the retry from the budget of the service.
 func (p *Proxy) takeRetry(ctx context.Context, q *request, st *attemptState) bool {
