Refuse a request as itself when its header is whole just after the end of a stop

Cause: the end of the work set a read deadline in the past, which cut off the header that was arriving, so that no id was known.

Change: a header that is arriving then, or begins to be read later, may become whole in half of the time that is left for answers; the request is then refused as itself.

The one that runs now takes 2 s; what is checked is the same.

--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -132,12 +132,23 @@
 			p.cancel(ErrStopping)
 		}
 	}
-	if !c.ended {
+	switch {
+	case c.ended:
+	case c.arriving:
+		c.setLateHeaderTimeout()
+	default:
 		c.unblockReader()
 	}
 	_ = c.nc.SetWriteDeadline(deadline) // Fails only if the connection is closed.
 }
 
+// setLateHeaderTimeout lets the header that is arriving become whole after the end of the work,
+// in half of the time that is left for answers: a request whose header is known is refused with
+// its id.
+func (c *conn) setLateHeaderTimeout() {
+	_ = c.nc.SetReadDeadline(time.Now().Add(time.Until(c.answerDeadline) / 2)) // Fails only if the connection is closed.
+}
+
 // isWorkEnded reports whether requests are no longer started. The caller holds the lock.
 func (c *conn) isWorkEnded() bool { return !c.answerDeadline.IsZero() }
 
@@ -156,6 +167,9 @@
 	}
 	c.reading, c.arriving, c.lastRead = true, true, c.readingStopped
 	c.late, c.nextIsLate = c.nextIsLate, c.restricted
+	if c.isWorkEnded() {
+		c.setLateHeaderTimeout()
+	}
 	return true
 }
 
--- a/io/berylhttpserver/drain_test.go
+++ b/io/berylhttpserver/drain_test.go
@@ -129,6 +129,36 @@
 	}
 }
 
+// A request whose header was whole only after the time of a stop was over got a 503 without its
+// id.
+func TestRequestWhoseHeaderIsWholeJustAfterStopIsRefusedAsItself(t *testing.T) {
+	const rest = "/1 HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n"
+	s, reported, dial := startReportingServer(t, func(_ context.Context, r *Request) *Answer {
+		return textAnswer(r.Path)
+	}, Refuse(func(r *Request) *Answer {
+		return &Answer{Status: http.StatusServiceUnavailable, Header: http.Header{}, Body: []byte("refused " + r.Header.Get("Id"))}
+	}))
+	nc := dial()
+	_, err := io.WriteString(nc, "GET ")
+	require.NoError(t, err)
+	var c *conn
+	require.Eventually(t, func() bool {
+		s.eachConn(func(other *conn) { c = other })
+		if c == nil {
+			return false
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.arriving
+	}, time.Second, time.Millisecond)
+	c.endWork(time.Now().Add(4 * time.Second))
+	time.Sleep(20 * time.Millisecond) // The reader would notice the end of the work.
+	_, err = io.WriteString(nc, rest)
+	require.NoError(t, err)
+	require.Equal(t, []string{"503 refused 1"}, readAnswers(t, nc, 1))
+	require.Empty(t, reported.all())
+}
+
 func TestStopEndsWhileCallerDoesNotReadItsAnswer(t *testing.T) {
 	long := textAnswer(strings.Repeat("a", 64<<20)) // Making it may take longer than the stop.
 	s, reported, dial := startReportingServer(t, func(_ context.Context, r *Request) *Answer {
--- a/io/berylhttpserver/restricted_test.go
+++ b/io/berylhttpserver/restricted_test.go
@@ -15,7 +15,7 @@
 )
 
 // startRestrictedServer starts a server that serves paths which begin with /call while it stops
-// and is needed. A path that contains slow takes 700 ms, or until the request is cancelled. The
+// and is needed. A path that contains slow takes 2 s, or until the request is cancelled. The
 // test fails if a request is started and refused.
 func startRestrictedServer(t *testing.T, needed *atomic.Bool) (*Server, *unansweredList, func() net.Conn) {
 	t.Helper()
@@ -26,7 +26,7 @@
 			select {
 			case <-ctx.Done():
 				return &Answer{Status: http.StatusGatewayTimeout, Header: http.Header{}}
-			case <-time.After(700 * time.Millisecond):
+			case <-time.After(2 * time.Second):
 			}
 		}
 		return textAnswer(r.Path)
