Empty a data centre while its evacuation is published [ready]

Cause: op/evacuate/ZONE was not read; requests went on to the servers of evacuated data centres.

Change: evacuations are read with the other lists and passed on with them (no further call to the store). Servers of evacuated data centres are not chosen, the instance beside a server refuses as unsent what comes to it, and its sender tries other data centres.

--- a/io/berylproxy/proxy.go
+++ b/io/berylproxy/proxy.go
@@ -11,6 +11,7 @@
 
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylretries"
+	"berylspan/core/berylslowstart"
 	"berylspan/core/berylsplitter"
 	"berylspan/core/beryltimelimit"
 	"berylspan/core/beryltracker"
@@ -58,6 +59,7 @@
 
 	mu           sync.Mutex
 	tracker      *beryltracker.Tracker
+	slowStart    *berylslowstart.SlowStart // of data centres whose evacuation was taken back
 	splitters    map[string]*berylsplitter.Splitter
 	retryBudgets map[string]*berylretries.Budget
 	timeLimits   map[string]*beryltimelimit.Estimator // of root requests, by rule
@@ -83,6 +85,7 @@
 // New initializes p, whose exported fields must be set, and returns it.
 func New(p *Proxy) *Proxy {
 	p.tracker = beryltracker.New()
+	p.slowStart = berylslowstart.New()
 	p.splitters = map[string]*berylsplitter.Splitter{}
 	p.retryBudgets = map[string]*berylretries.Budget{}
 	p.timeLimits = map[string]*beryltimelimit.Estimator{}
@@ -117,6 +120,7 @@
 		}
 	}
 	p.fleetSize = len(hosts)
+	p.slowStart.Update(now, state.Evacuated)
 	for send := range p.remoteSends {
 		if peer, ok := p.peers[send.host]; ok && p.isSilent(now, peer) {
 			send.cancel()
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -33,6 +33,7 @@
 	retryAfter   time.Duration     // shortest time until an overloaded instance may have room
 	overloaded   bool              // an attempt was refused, or an instance passed over, because of overload
 	quarantined  bool              // servers ended while they ran the request, and no trial is possible now
+	evacuated    []string          // data centres that an instance there says are evacuated
 }
 
 // run sends a request to instances until one answers or no further attempt is allowed.
@@ -58,6 +59,7 @@
 		st.tried[to.ID] = true
 		p.setServer(q, to)
 		reply := p.attempt(ctx, q, to)
+		st.recordEvacuated(to, reply)
 		q.reason = reply.Reason
 		q.queueTime += reply.QueueTime
 		if reply.Outcome == berylattempt.Answered && !p.retryAnswered(ctx, q, st, reply) {
@@ -170,13 +172,11 @@
 	return budget
 }
 
-// chooseInstance returns the best instance that has not been tried.
-func (p *Proxy) chooseInstance(q *request, st *attemptState) (berylregistration.Registration, bool) {
-	list := p.State().ServersByService[q.outgoing.Service]
+// chooseFrom returns the best of the instances in list that has not been tried. The caller holds
+// the lock.
+func (p *Proxy) chooseFrom(q *request, st *attemptState, list []berylregistration.Registration) (berylregistration.Registration, bool) {
 	now := time.Now()
 	candidates := make([]berylplacement.Candidate, len(list))
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if q.outgoing.Trial {
 		return p.chooseTrial(q, st, list)
 	}
@@ -338,7 +338,7 @@
 	case st.maybeRan:
 		return p.refuse(q, http.StatusBadGateway, q.reason, 0)
 	case q.attempts == 0 && !st.overloaded && !stopping:
-		return p.refuse(q, http.StatusServiceUnavailable, reasonNoInstance, retryDelay(q, 0))
+		return p.refuse(q, http.StatusServiceUnavailable, p.reasonUnplaced(q), retryDelay(q, 0))
 	case st.overloaded:
 		q.queueTime = time.Since(q.ReceivedAt) + refusedCallWait
 		if q.reason == "" {
--- /dev/null
+++ b/io/berylproxy/servers.go
@@ -0,0 +1,64 @@
+package berylproxy
+
+import (
+	"slices"
+	"time"
+
+	"berylspan/core/berylregistration"
+	"berylspan/io/berylreply"
+)
+
+// Reasons for refusing a request before it is sent to any instance.
+const reasonEvacuated = berylreply.ReasonEvacuated // all servers of its service are in evacuated data centres
+
+// chooseInstance returns the best instance that has not been tried. A data centre that has
+// returned from an evacuation is left out of some of the choices, unless no other can be chosen.
+func (p *Proxy) chooseInstance(q *request, st *attemptState) (berylregistration.Registration, bool) {
+	list := p.usableServers(q, st)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.slowStart.Active() && !q.outgoing.Trial { // All instances choose the same server for a trial.
+		if to, ok := p.chooseFrom(q, st, p.withoutReturning(list)); ok {
+			return to, true
+		}
+	}
+	return p.chooseFrom(q, st, list)
+}
+
+// usableServers returns the servers that a request may be sent to, tried or not. Those in
+// evacuated data centres are not among them.
+func (p *Proxy) usableServers(q *request, st *attemptState) []berylregistration.Registration {
+	list := p.State().ServersByService[q.outgoing.Service]
+	if len(st.evacuated) > 0 {
+		list = slices.DeleteFunc(slices.Clone(list), func(r berylregistration.Registration) bool { return slices.Contains(st.evacuated, r.Zone) })
+	}
+	return list
+}
+
+// withoutReturning returns the servers without those in data centres whose share of the requests
+// does not include this one. The caller holds the lock.
+func (p *Proxy) withoutReturning(list []berylregistration.Registration) []berylregistration.Registration {
+	now, draw := time.Now(), random()
+	return slices.DeleteFunc(slices.Clone(list), func(r berylregistration.Registration) bool { return draw >= p.slowStart.Share(now, r.Zone) })
+}
+
+// recordEvacuated records that an instance refused the request because its data centre is
+// evacuated, which this instance does not know yet.
+func (st *attemptState) recordEvacuated(to berylregistration.Registration, reply *berylreply.Reply) {
+	if reply.Reason == berylreply.ReasonEvacuated {
+		st.evacuated = append(st.evacuated, to.Zone)
+	}
+}
+
+// reasonUnplaced returns the reason why no instance could be chosen for a request.
+func (p *Proxy) reasonUnplaced(q *request) string {
+	state := p.State()
+	if len(state.Evacuated) > 0 && len(state.ServersByService[q.outgoing.Service]) == 0 {
+		for _, r := range state.ServersByAddr {
+			if r.Service == q.outgoing.Service {
+				return reasonEvacuated
+			}
+		}
+	}
+	return reasonNoInstance
+}
--- a/io/berylreply/reply.go
+++ b/io/berylreply/reply.go
@@ -42,6 +42,7 @@
 	ReasonExpired          = "expired"     // its deadline passed while it waited in the queue
 	ReasonShuttingDown     = "leaving"     // the instance is shutting down
 	ReasonServerLeaving    = "draining"    // the backend server has said that it is shutting down
+	ReasonEvacuated        = "evacuated"   // the data centre of the backend server is evacuated
 	ReasonWrongServer      = "other"       // a backend server other than the intended one has the address
 	ReasonQuarantined      = "quarantined" // servers ended while they ran it before, and no trial is possible now
 	ReasonNoConnection     = "dial"        // no connection could be established
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -35,6 +35,7 @@
 	onServerEnd    func(berylserverend.ServerEnd)
 	onAnswered     func(req *berylrequest.Request)
 	checkSuspect   func(req *berylrequest.Request) (suspect bool, wait time.Duration)
+	isEvacuated    func() bool // the data centre of the backend server
 
 	mu             sync.Mutex
 	pool           *berylconnpool.Pool
@@ -96,6 +97,7 @@
 		onServerEnd:    func(berylserverend.ServerEnd) {},
 		onAnswered:     func(*berylrequest.Request) {},
 		checkSuspect:   func(*berylrequest.Request) (bool, time.Duration) { return false, 0 },
+		isEvacuated:    func() bool { return false },
 		flights:        map[*flight]struct{}{},
 		admission:      beryladmission.New[*waiter](initialLimit),
 		callGraph:      berylcallgraph.New(),
@@ -204,6 +206,9 @@
 	if r.status.Leaving && r.lifetime == req.Lifetime() {
 		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonServerLeaving)
 	}
+	if r.isEvacuated() {
+		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonEvacuated)
+	}
 	if known && entry.Slots > 0 && entry.Slots != r.slots {
 		r.slots = entry.Slots
 	}
--- a/io/berylstorecache/peers.go
+++ b/io/berylstorecache/peers.go
@@ -16,7 +16,7 @@
 // unchanged servers.
 func (c *StoreCache) Snapshot(known KnownVersions) *Snapshot {
 	s := c.State()
-	snapshot := &Snapshot{Era: s.Era, ChangeRevision: s.ChangeRevision, Revision: s.Revision, AgeMs: c.clock().Sub(s.ConfirmedAt).Milliseconds(), Digest: s.Digest}
+	snapshot := &Snapshot{Era: s.Era, ChangeRevision: s.ChangeRevision, Revision: s.Revision, AgeMs: c.clock().Sub(s.ConfirmedAt).Milliseconds(), Digest: s.Digest, Evacuated: &s.Evacuated}
 	if s.Config != nil {
 		snapshot.ConfigVersion = s.Config.Version
 		if snapshot.ConfigVersion > known.ConfigVersion {
@@ -144,6 +144,7 @@
 		if snapshot.Era == old.Era {
 			s.Revision = max(old.Revision, snapshot.Revision)
 		}
+		s.Evacuated = evacuatedInSnapshot(old, snapshot)
 		s.Era, s.ChangeRevision = snapshot.Era, snapshot.ChangeRevision
 		s.Servers = berylhistory.Apply(nil, c.withoutDeparted(c.clock(), snapshot.Era, slices.Collect(maps.Values(servers))), nil)
 		s.buildIndexes()
--- a/io/berylstorecache/source.go
+++ b/io/berylstorecache/source.go
@@ -20,6 +20,10 @@
 	Updated    []berylregistration.Registration // new or changed servers
 	RemovedIDs []string                         // of servers
 	Findings   []string                         // faults in published items
+
+	// Evacuations holds changes by data centre: true if it is evacuated, false if that was taken
+	// back. If Full is set, it holds all that are evacuated.
+	Evacuations map[string]bool
 }
 
 // Source reads the store. WaitForChanges waits up to wait for changes after a revision.
--- a/io/berylstorecache/state.go
+++ b/io/berylstorecache/state.go
@@ -5,14 +5,15 @@
 	"slices"
 	"time"
 
+	"berylspan/core/berylevacuation"
 	"berylspan/core/berylhistory"
 	"berylspan/core/berylhttpconfig"
 	"berylspan/core/berylregistration"
 )
 
 // State is what an instance knows of the published configuration and server list. It is
-// immutable. A change is relevant if it brings a newer configuration or changes the list
-// in more than what Equivalent of an entry ignores.
+// immutable. A change is relevant if it brings a newer configuration, begins or ends an
+// evacuation or changes the list in more than what Equivalent of an entry ignores.
 type State struct {
 	Config           *berylhttpconfig.Config                     // nil while none is known
 	RawConfig        []byte                                      // as published
@@ -20,10 +21,11 @@
 	ChangeRevision   int64                                       // of the last relevant change; can exceed Revision after a delayed removal
 	Revision         int64                                       // up to which the store was read
 	Servers          map[string]berylregistration.Registration   // by ID
-	ServersByService map[string][]berylregistration.Registration // sorted by ID
+	ServersByService map[string][]berylregistration.Registration // sorted by ID, without those in evacuated data centres
 	ServersByAddr    map[string]berylregistration.Registration   // by address of the backend server
 	Digest           uint64                                      // of Servers
-	ConfirmedAt      time.Time                                   // when the store was last known to hold this state
+	Evacuated        berylevacuation.Zones
+	ConfirmedAt      time.Time // when the store was last known to hold this state
 }
 
 // comparePosition orders positions in the history of the store, -1 if the first is earlier.
@@ -32,7 +34,7 @@
 	return cmp.Or(cmp.Compare(era, otherEra), cmp.Compare(revision, otherRevision))
 }
 
-// buildIndexes sets the fields that follow from Servers. Of two servers with the same
+// buildIndexes sets the fields that follow from Servers and Evacuated. Of two servers with the same
 // address only the one that started later is indexed.
 func (s *State) buildIndexes() {
 	s.Digest = berylhistory.Digest(s.Servers)
@@ -44,6 +46,9 @@
 	}
 	s.ServersByService = map[string][]berylregistration.Registration{}
 	for _, server := range s.ServersByAddr {
+		if s.Evacuated.Contains(server.Zone) {
+			continue
+		}
 		s.ServersByService[server.Service] = append(s.ServersByService[server.Service], server)
 	}
 	for _, servers := range s.ServersByService {
--- a/io/berylstorecache/storecache.go
+++ b/io/berylstorecache/storecache.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"berylspan/core/beryldepartures"
+	"berylspan/core/berylevacuation"
 	"berylspan/core/berylhistory"
 	"berylspan/core/berylregistration"
 	"berylspan/io/berylclock"
@@ -78,6 +79,7 @@
 	RemovedIDs       []string                         `cbor:"9,keyasint,omitempty"`
 	Digest           uint64                           `cbor:"10,keyasint,omitempty"`
 	Era              int64                            `cbor:"11,keyasint,omitempty"` // that the revisions belong to
+	Evacuated        *berylevacuation.Zones           `cbor:"12,keyasint,omitempty"` // nil from an instance that does not know of evacuations
 }
 
 const (
@@ -273,11 +275,16 @@
 		changed = true
 		c.log.Info().Int64("version", result.Config.Version).Int("rules", result.Config.RuleCount()).Str("from", "store").Msg("configuration in force")
 	}
+	s.Evacuated = evacuatedAfterRead(old, result)
+	evacuatedChanged := !maps.Equal(s.Evacuated, old.Evacuated)
 	if result.Full || len(result.Updated)+len(result.RemovedIDs) > 0 {
 		servers, serversChanged := c.updateServers(now, old, result)
 		s.Servers, changed = servers, changed || serversChanged
 		s.buildIndexes()
+	} else if evacuatedChanged {
+		s.buildIndexes()
 	}
+	changed = changed || evacuatedChanged
 	if changed && !restored {
 		s.ChangeRevision = max(s.Revision, old.ChangeRevision+1)
 	}
@@ -358,6 +365,7 @@
 // setState replaces old by s, whose indexes are built, and records the changes.
 func (c *StoreCache) setState(old, s *State) {
 	c.departures.Update(c.clock(), s.Era, old.Servers, s.Servers)
+	c.logEvacuations(old, s)
 	if s.Era != old.Era || s.ChangeRevision != old.ChangeRevision {
 		c.recordChange(old, s)
 	}
