--- a/core/berylplacement/choose.go
+++ b/core/berylplacement/choose.go
@@ -1,19 +1,32 @@
 // Package berylplacement chooses the instance that runs a request.
 //
-// Servers differ in speed, distant servers add latency, requests wait at full
-// servers, and load data is a fraction of a second old. Choose therefore estimates
-// how long the request would take at each candidate and returns the one with the
-// lowest estimate.
+// Load pattern: many instances send to the same servers, each knows their load as it was a
+// fraction of a second ago, and the servers differ in speed. If every instance chose the server
+// that looks best, all would choose the same one until the next report, and servers would be
+// overrun in turns while others idle.
+//
+// Choose therefore interprets a reported load by its age (Dahlin, "Interpreting Stale Load
+// Information", 1999): of the requests that a server had, some have ended since, and as many
+// have been sent to the servers by all instances together. It spreads these over the servers as
+// if each had gone to the least utilised one, and returns a server at random, in proportion to
+// what it gets of them. With new reports that is the least utilised server, with old ones each
+// server's share of the room.
 package berylplacement
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // Candidate is an instance that could run the request.
 type Candidate struct {
-	Busy        float64 // requests that run or wait there
+	Busy        float64 // requests that run or wait there: those reported and what this instance has sent since
+	Own         float64 // requests of this instance among them
+	Age         float64 // seconds since the load was reported; UnknownAge without a report
 	Limit       float64 // concurrency limit
 	ServiceTime float64 // seconds that a request runs, 0 when unknown
 	OtherZone   bool    // in another data centre
+	OtherRegion bool    // in a data centre of another region
 	Cold        bool    // started recently
 	Suspect     bool    // recent requests to it failed
 	Throttled   bool    // recently refused new requests of the rule
@@ -21,44 +34,199 @@
 	Excluded    bool    // must not be chosen
 }
 
-// CrossZoneCost is the time, in seconds, that stands for the traffic and latency to
-// another data centre.
-const CrossZoneCost = 0.06
+// UnknownAge is the Age of a load that was not reported.
+const UnknownAge = -1
+
+// CrossZoneCost and CrossRegionCost are the times, in seconds, that stand for the traffic and
+// latency to another data centre of the own region and of another one.
+const (
+	CrossZoneCost   = 0.06
+	CrossRegionCost = 0.12
+)
 
 // Costs are added to the estimates, in seconds.
 type Costs struct {
-	CrossZone float64 // for an instance in another data centre; see CrossZoneCost
+	CrossZone   float64 // for an instance in another data centre; see CrossZoneCost
+	CrossRegion float64 // for an instance in another region; see CrossRegionCost
 }
 
 const (
-	defaultServiceTime = 0.05 // seconds; used when no candidate's service time is known
-	coldFactor         = 2    // multiplies the service time of a server that started recently
-	slowdownThreshold  = 0.85 // utilisation from which a server is assumed to slow down
-	slowdownPenalty    = 0.3  // relative increase of the service time at full utilisation
-	utilisationPenalty = 0.15 // as above, but in proportion to utilisation, to spread load evenly
-	idleFactor         = 0.3  // multiplies the estimate of an idle instance, so that it gets a request and its measurements are refreshed
-	suspectPenalty     = 30   // seconds added for a suspect instance
+	defaultServiceTime = 0.05  // seconds; used when no candidate's service time is known
+	coldFactor         = 2     // multiplies the service time of a server that started recently
+	transitTime        = 0.005 // seconds that a report and a request are on their way, added to the age of the report
+	suspectPenalty     = 30    // seconds added for a suspect instance
+	idleMaxSlowness    = 3     // times the mean service time; an instance that is not slower gets a request when idle, so that its measurements are refreshed
+	fillSteps          = 20    // bisections to find the level; its error is then below a millionth of the range
+
+	// A server that is slower than the mean gets less work than its share of the slots, since
+	// its requests wait longer for their answer. At twice the mean service time its utilisation
+	// stays 0.33 below that of the others, as long as these have room.
+	slownessWeight = 0.05
 )
 
-// Choose returns the index of the best candidate and the estimated time there in
-// seconds, or -1 when all are excluded. Random returns a number in [0,1).
-func Choose(cs []Candidate, costs Costs, random func() float64) (best int, expected float64) {
-	best = -1
+// curve is the time that a request takes at a utilisation, in service times, as points that are
+// joined by straight lines. It continues beyond the last one, where a request waits for one
+// service time per limit of requests that are ahead of it. Above a utilisation of 0.85 servers
+// begin to slow down and arrivals that come together find no free slot.
+var curve = [...]struct{ utilisation, time float64 }{{0, 1}, {0.85, 1.1275}, {1, 1.45}}
+
+// timeAt returns the time on the curve at a utilisation.
+func timeAt(u float64) float64 {
+	switch {
+	case u >= curve[2].utilisation:
+		return curve[2].time + u - curve[2].utilisation
+	case u >= curve[1].utilisation:
+		return curve[1].time + (u-curve[1].utilisation)*(curve[2].time-curve[1].time)/(curve[2].utilisation-curve[1].utilisation)
+	}
+	return curve[0].time + u*(curve[1].time-curve[0].time)/curve[1].utilisation
+}
+
+// utilisationAt is the inverse of timeAt. It returns 0 for times below that of an idle server.
+func utilisationAt(t float64) float64 {
+	switch {
+	case t >= curve[2].time:
+		return curve[2].utilisation + t - curve[2].time
+	case t >= curve[1].time:
+		return curve[1].utilisation + (t-curve[1].time)*(curve[2].utilisation-curve[1].utilisation)/(curve[2].time-curve[1].time)
+	}
+	return max(0, (t-curve[0].time)*curve[1].utilisation/(curve[1].time-curve[0].time))
+}
+
+// Chooser chooses among candidates. It keeps its memory from one choice to the next and is not
+// safe for concurrent use.
+type Chooser struct {
+	servers []server
+}
+
+// server is a candidate that is not excluded.
+type server struct {
+	index     int
+	limit     float64
+	remaining float64 // requests of its reported load that are still there
+	window    float64 // seconds; requests that arrived at a constant rate since the report number rate times window now
+	offset    float64 // added to the time on the curve
+}
+
+// Choose returns the index of a candidate for the next request and the time that it is expected
+// to take there in seconds, or -1 when all are excluded. Random returns a number in [0,1).
+func (ch *Chooser) Choose(cs []Candidate, costs Costs, random func() float64) (chosen int, expected float64) {
 	mean := meanServiceTime(cs)
-	for i, c := range cs {
+	rate := ch.interpret(cs, costs, mean)
+	if len(ch.servers) == 0 {
+		return -1, 0
+	}
+	for i := range ch.servers {
+		s := &ch.servers[i]
+		if c := &cs[s.index]; c.Idle && !c.OtherZone && !c.Suspect && s.remaining < s.limit && serviceTime(c, mean) < idleMaxSlowness*mean {
+			return s.index, mean * s.timeAt(s.remaining+1)
+		}
+	}
+	level := ch.fill(rate)
+	point := random() * rate
+	best := &ch.servers[0]
+	for i := range ch.servers {
+		s := &ch.servers[i]
+		r := s.rateTo(level)
+		if r <= 0 {
+			continue
+		}
+		best = s
+		if point -= r; point < 0 {
+			break
+		}
+	}
+	return best.index, mean * level
+}
+
+// interpret sets the servers to choose from and returns the rate per second at which requests
+// are sent to them by the instances of the data centre.
+func (ch *Chooser) interpret(cs []Candidate, costs Costs, mean float64) (rate float64) {
+	utilisation := meanUtilisation(cs)
+	ch.servers = ch.servers[:0]
+	rate = 1 / mean // of this instance, as if the request to be placed were one of those that always run
+	for i := range cs {
+		c := &cs[i]
 		if c.Excluded {
 			continue
 		}
-		// A few per cent of jitter keep instances with the same load data
-		// from all choosing the same server.
-		t := cost(c, costs, mean) * (1 + 0.06*random())
-		if best < 0 || t < expected {
-			best, expected = i, t
+		t := serviceTime(c, mean)
+		s := server{index: i, limit: max(c.Limit, 1), remaining: c.Busy, offset: slownessWeight * (t/mean - 1)}
+		left, busy := s.age(c, t), c.Busy
+		if c.Age == UnknownAge {
+			busy = max(busy, utilisation*s.limit)
+		}
+		if !c.OtherZone && busy > 0 {
+			// Other data centres have instances of their own that send there, so what ended there
+			// is not replaced by what is sent from here.
+			others := max(busy-c.Own, 0) / busy
+			s.remaining = c.Own + others*left
+			rate += others * min(busy, s.limit) / t
+		}
+		switch {
+		case c.OtherRegion:
+			s.offset += costs.CrossRegion / mean
+		case c.OtherZone:
+			s.offset += costs.CrossZone / mean
+		}
+		if c.Suspect {
+			s.offset += suspectPenalty / mean
+		}
+		ch.servers = append(ch.servers, s)
+	}
+	return rate
+}
+
+// age sets the window of the server and returns how many of the requests that it had when its
+// load was reported are still there. t is its service time.
+func (s *server) age(c *Candidate, t float64) (left float64) {
+	if c.Age == UnknownAge {
+		s.window = t
+		return 0
+	}
+	age := c.Age + transitTime
+	queue := max(c.Busy-s.limit, 0)
+	drain := queue * t / s.limit // seconds until the queue has started
+	if age < drain {
+		s.window = age
+		return c.Busy - age*s.limit/t
+	}
+	part := math.Exp(-(age - drain) / t)
+	s.window = drain*part + t*(1-part)
+	return (c.Busy - queue) * part
+}
+
+// fill returns the time up to which requests that arrive at a rate fill the servers if each goes
+// to the one with the lowest time.
+func (ch *Chooser) fill(rate float64) (level float64) {
+	low, high := math.Inf(1), math.Inf(1)
+	for i := range ch.servers {
+		s := &ch.servers[i]
+		low = min(low, s.timeAt(s.remaining))
+		high = min(high, s.timeAt(s.remaining+rate*s.window)) // One server alone could take them all.
+	}
+	for range fillSteps {
+		level = (low + high) / 2
+		sum := 0.0
+		for i := range ch.servers {
+			sum += ch.servers[i].rateTo(level)
+		}
+		if sum < rate {
+			low = level
+		} else {
+			high = level
 		}
 	}
-	return best, expected
+	return high
 }
 
+// rateTo returns the rate at which requests fill the server up to a level.
+func (s *server) rateTo(level float64) float64 {
+	return max(0, utilisationAt(level-s.offset)*s.limit-s.remaining) / s.window
+}
+
+// timeAt returns the time that a request takes at the server with the given number of requests.
+func (s *server) timeAt(busy float64) float64 { return timeAt(busy/s.limit) + s.offset }
+
 // ExcludeThrottled excludes throttled candidates and, when the own data centre has
 // any candidates, all those in other data centres: they depend on the same
 // overloaded service, so a request would only travel further to be refused.
@@ -71,11 +239,12 @@
 	}
 }
 
+// meanServiceTime returns the mean of the service times that are known.
 func meanServiceTime(cs []Candidate) float64 {
 	sum, n := 0.0, 0
-	for _, c := range cs {
-		if c.ServiceTime > 0 {
-			sum += c.ServiceTime
+	for i := range cs {
+		if cs[i].ServiceTime > 0 {
+			sum += cs[i].ServiceTime
 			n++
 		}
 	}
@@ -85,30 +254,25 @@
 	return sum / float64(n)
 }
 
-func cost(c Candidate, costs Costs, mean float64) float64 {
-	serviceTime := c.ServiceTime
-	if serviceTime <= 0 {
-		serviceTime = mean
-	}
-	if c.Cold {
-		serviceTime *= coldFactor
-	}
-	limit := max(c.Limit, 1)
-	utilisation := (c.Busy + 1) / limit
-	t := serviceTime * (1 + utilisationPenalty*min(utilisation, 1))
-	if utilisation > slowdownThreshold {
-		t += serviceTime * slowdownPenalty * min((utilisation-slowdownThreshold)/(1-slowdownThreshold), 1)
-	}
-	if utilisation > 1 {
-		t += serviceTime * (utilisation - 1)
+// meanUtilisation returns the utilisation of the servers of the own data centre whose load is known.
+func meanUtilisation(cs []Candidate) float64 {
+	busy, limit := 0.0, 1.0
+	for i := range cs {
+		if c := &cs[i]; !c.OtherZone && c.Age != UnknownAge {
+			busy += c.Busy
+			limit += c.Limit
+		}
 	}
-	if c.OtherZone {
-		t += costs.CrossZone
-	} else if c.Idle && utilisation <= 1 {
-		t *= idleFactor
+	return busy / limit
+}
+
+func serviceTime(c *Candidate, mean float64) float64 {
+	t := c.ServiceTime
+	if t <= 0 {
+		t = mean
 	}
-	if c.Suspect {
-		t += suspectPenalty
+	if c.Cold {
+		t *= coldFactor
 	}
 	return t
 }
--- a/core/berylplacement/choose_test.go
+++ b/core/berylplacement/choose_test.go
@@ -26,7 +26,7 @@
 		{"none when all are excluded", []Candidate{{Limit: 10, Excluded: true}}, -1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			got, _ := Choose(c.cs, costs, half)
+			got, _ := new(Chooser).Choose(c.cs, costs, half)
 			require.Equal(t, c.want, got)
 		})
 	}
--- a/core/berylplacement/exclude_test.go
+++ b/core/berylplacement/exclude_test.go
@@ -12,11 +12,11 @@
 func TestNewRequestsOfThrottledRuleStayInOwnDataCentre(t *testing.T) {
 	cs := []Candidate{{Limit: 5, Throttled: true}, {Limit: 5, Busy: 4}, {Limit: 5, OtherZone: true}}
 	ExcludeThrottled(cs)
-	i, _ := Choose(cs, Costs{}, func() float64 { return 0 })
+	i, _ := new(Chooser).Choose(cs, Costs{}, func() float64 { return 0 })
 	require.Equal(t, 1, i)
 	cs[1].Throttled = true
 	ExcludeThrottled(cs)
-	i, _ = Choose(cs, Costs{}, func() float64 { return 0 })
+	i, _ = new(Chooser).Choose(cs, Costs{}, func() float64 { return 0 })
 	require.Equal(t, -1, i)
 }
 
@@ -24,13 +24,13 @@
 // this rule it would get no requests and its service time would never be measured.
 func TestIdleServerIsTriedOnce(t *testing.T) {
 	cs := []Candidate{{Limit: 20, ServiceTime: 0.02}, {Limit: 20, ServiceTime: 0.05, Idle: true}}
-	i, _ := Choose(cs, Costs{}, func() float64 { return 0 })
+	i, _ := new(Chooser).Choose(cs, Costs{}, func() float64 { return 0 })
 	require.Equal(t, 1, i)
 	cs[1].Idle = false
-	i, _ = Choose(cs, Costs{}, func() float64 { return 0 })
+	i, _ = new(Chooser).Choose(cs, Costs{}, func() float64 { return 0 })
 	require.Equal(t, 0, i)
 	cs[1].Idle, cs[1].OtherZone = true, true
-	i, _ = Choose(cs, Costs{CrossZone: 0.06}, func() float64 { return 0 })
+	i, _ = new(Chooser).Choose(cs, Costs{CrossZone: 0.06}, func() float64 { return 0 })
 	require.Equal(t, 0, i, "not in another data centre")
 }
 
--- a/core/berylsimulation/instance.go
+++ b/core/berylsimulation/instance.go
@@ -23,6 +23,7 @@
 	generation int // changes on every stop and start
 
 	tracker *beryltracker.Tracker
+	chooser berylplacement.Chooser
 
 	admission *beryladmission.Controller[*job]
 	inflight  *berylinflight.Limiter
@@ -154,7 +155,7 @@
 	if throttled {
 		berylplacement.ExcludeThrottled(cs)
 	}
-	i, _ := berylplacement.Choose(cs, berylplacement.Costs{CrossZone: berylplacement.CrossZoneCost}, in.m.rng.Float64)
+	i, _ := in.chooser.Choose(cs, berylplacement.Costs{CrossZone: berylplacement.CrossZoneCost}, in.m.rng.Float64)
 	if i < 0 {
 		return nil
 	}
--- a/core/beryltracker/tracker.go
+++ b/core/beryltracker/tracker.go
@@ -129,10 +129,14 @@
 func (t *Tracker) Candidate(now time.Time, id, rule string, slots int) berylplacement.Candidate {
 	in := t.instances[id]
 	if in == nil {
-		return berylplacement.Candidate{Limit: float64(slots), Idle: true}
+		return berylplacement.Candidate{Limit: float64(slots), Age: berylplacement.UnknownAge, Idle: true}
 	}
-	c := berylplacement.Candidate{Limit: float64(slots), Busy: float64(in.inflight), ServiceTime: in.serviceTimes[rule], Suspect: now.Before(in.suspectUntil), Throttled: now.Before(in.throttledUntil[rule]), Idle: in.inflight == 0 && now.Sub(in.lastSent) > idleAfter}
-	if now.Sub(in.reportedAt) < reportTTL {
+	c := berylplacement.Candidate{
+		Limit: float64(slots), Busy: float64(in.inflight), Own: float64(in.inflight), Age: berylplacement.UnknownAge, ServiceTime: in.serviceTimes[rule],
+		Suspect: now.Before(in.suspectUntil), Throttled: now.Before(in.throttledUntil[rule]), Idle: in.inflight == 0 && now.Sub(in.lastSent) > idleAfter,
+	}
+	if age := now.Sub(in.reportedAt); age < reportTTL {
+		c.Age = max(age, 0).Seconds()
 		c.Busy = max(float64(in.inflight), float64(in.reportedBusy+in.inflight-in.inflightAtReport))
 		if in.reportedLimit > 0 {
 			c.Limit = float64(in.reportedLimit)
--- a/io/berylproxy/proxy.go
+++ b/io/berylproxy/proxy.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"berylspan/core/berylheadernames"
+	"berylspan/core/berylplacement"
 	"berylspan/core/berylretries"
 	"berylspan/core/berylsplitter"
 	"berylspan/core/beryltimelimit"
@@ -58,6 +59,8 @@
 
 	mu           sync.Mutex
 	tracker      *beryltracker.Tracker
+	chooser      berylplacement.Chooser
+	candidates   []berylplacement.Candidate // memory of chooseInstance
 	splitters    map[string]*berylsplitter.Splitter
 	retryBudgets map[string]*berylretries.Budget
 	timeLimits   map[string]*beryltimelimit.Estimator // of root requests, by rule
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -174,14 +174,14 @@
 func (p *Proxy) chooseInstance(q *request, st *attemptState) (berylregistration.Registration, bool) {
 	list := p.State().ServersByService[q.outgoing.Service]
 	now := time.Now()
-	candidates := make([]berylplacement.Candidate, len(list))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if q.outgoing.Trial {
 		return p.chooseTrial(q, st, list)
 	}
 	throttled := false
-	for i, entry := range list {
+	candidates := p.candidates[:0]
+	for _, entry := range list {
 		c := p.tracker.Candidate(now, entry.ID, q.rule.Name, entry.Slots)
 		c.OtherZone = entry.Zone != p.Zone
 		c.Cold = entry.Warm > 0
@@ -192,19 +192,24 @@
 			c.Excluded = c.Excluded || peer.Heartbeat.Leaving
 			c.Suspect = c.Suspect || p.isSilent(now, peer)
 		}
-		candidates[i] = c
+		candidates = append(candidates, c)
 	}
+	p.candidates = candidates
 	if throttled {
 		st.overloaded = true
 		berylplacement.ExcludeThrottled(candidates)
 	}
-	i, _ := berylplacement.Choose(candidates, berylplacement.Costs{CrossZone: berylplacement.CrossZoneCost}, random)
+	i, _ := p.chooser.Choose(candidates, placementCosts(), random)
 	if i < 0 {
 		return berylregistration.Registration{}, false
 	}
 	return list[i], true
 }
 
+func placementCosts() berylplacement.Costs {
+	return berylplacement.Costs{CrossZone: berylplacement.CrossZoneCost, CrossRegion: berylplacement.CrossRegionCost}
+}
+
 // setServer sets the backend server that the next attempt is meant for.
 func (p *Proxy) setServer(q *request, to berylregistration.Registration) {
 	p.mu.Lock()
