--- a/core/berylplacement/choose.go
+++ b/core/berylplacement/choose.go
@@ -56,40 +56,47 @@
 	transitTime        = 0.005 // seconds that a report and a request are on their way, added to the age of the report
 	suspectPenalty     = 30    // seconds added for a suspect instance
 	idleMaxSlowness    = 3     // times the mean service time; an instance that is not slower gets a request when idle, so that its measurements are refreshed
-	fillSteps          = 20    // bisections to find the level; its error is then below a millionth of the range
+	fillSteps          = 14    // bisections to find the level; its error is then below a ten-thousandth of the range
 
 	// A server that is slower than the mean gets less work than its share of the slots, since
 	// its requests wait longer for their answer. At twice the mean service time its utilisation
-	// stays 0.33 below that of the others, as long as these have room.
-	slownessWeight = 0.05
+	// stays 0.67 below that of the others, as long as these have room.
+	slownessWeight = 0.1
 )
 
-// curve is the time that a request takes at a utilisation, in service times, as points that are
-// joined by straight lines. It continues beyond the last one, where a request waits for one
-// service time per limit of requests that are ahead of it. Above a utilisation of 0.85 servers
-// begin to slow down and arrivals that come together find no free slot.
-var curve = [...]struct{ utilisation, time float64 }{{0, 1}, {0.85, 1.1275}, {1, 1.45}}
+// The time that a request takes at a utilisation, in service times, is a line through these
+// points. Above kneeUtilisation servers begin to slow down, and requests that arrive together
+// find no free slot. At a full server a request waits one service time for each limit of
+// requests that are ahead of it.
+const (
+	idleTime        = 1.0
+	kneeUtilisation = 0.85
+	kneeTime        = 1.1275
+	fullTime        = 1.45
+	freeSlope       = (kneeTime - idleTime) / kneeUtilisation
+	kneeSlope       = (fullTime - kneeTime) / (1 - kneeUtilisation)
+)
 
-// timeAt returns the time on the curve at a utilisation.
-func timeAt(u float64) float64 {
+// timeAt returns the time that a request takes at a utilisation, in service times.
+func timeAt(utilisation float64) float64 {
 	switch {
-	case u >= curve[2].utilisation:
-		return curve[2].time + u - curve[2].utilisation
-	case u >= curve[1].utilisation:
-		return curve[1].time + (u-curve[1].utilisation)*(curve[2].time-curve[1].time)/(curve[2].utilisation-curve[1].utilisation)
+	case utilisation >= 1:
+		return fullTime + utilisation - 1
+	case utilisation >= kneeUtilisation:
+		return kneeTime + (utilisation-kneeUtilisation)*kneeSlope
 	}
-	return curve[0].time + u*(curve[1].time-curve[0].time)/curve[1].utilisation
+	return idleTime + utilisation*freeSlope
 }
 
-// utilisationAt is the inverse of timeAt. It returns 0 for times below that of an idle server.
+// utilisationAt is the inverse of timeAt. It returns 0 for times below that at an idle server.
 func utilisationAt(t float64) float64 {
 	switch {
-	case t >= curve[2].time:
-		return curve[2].utilisation + t - curve[2].time
-	case t >= curve[1].time:
-		return curve[1].utilisation + (t-curve[1].time)*(curve[2].utilisation-curve[1].utilisation)/(curve[2].time-curve[1].time)
+	case t >= fullTime:
+		return 1 + t - fullTime
+	case t >= kneeTime:
+		return kneeUtilisation + (t-kneeTime)/kneeSlope
 	}
-	return max(0, (t-curve[0].time)*curve[1].utilisation/(curve[1].time-curve[0].time))
+	return max(0, (t-idleTime)/freeSlope)
 }
 
 // Chooser chooses among candidates. It keeps its memory from one choice to the next and is not
--- a/core/berylsimulation/instance.go
+++ b/core/berylsimulation/instance.go
@@ -117,7 +117,7 @@
 	in.tracker.Ended(now, to.id)
 	switch {
 	case r.hasLoad:
-		in.tracker.LoadReported(now, to.id, q.rule.Name, r.busy, r.limit, r.serviceTime)
+		in.tracker.LoadReported(now, to.id, q.rule.Name, r.busy, r.limit, r.serviceTime, 0)
 		if r.throttled {
 			in.tracker.Throttled(now, to.id, q.rule.Name)
 		}
--- a/core/beryltracker/tracker.go
+++ b/core/beryltracker/tracker.go
@@ -8,6 +8,7 @@
 package beryltracker
 
 import (
+	"math"
 	"time"
 
 	"berylspan/core/berylplacement"
@@ -26,7 +27,8 @@
 	inflightAtReport int
 	reportedLimit    int
 	reportedAt       time.Time
-	serviceTimes     map[string]float64   // moving averages in seconds, by rule
+	slowdown         float64              // of the server at that time
+	serviceTimes     map[string]float64   // moving averages in seconds, by rule, without the slowdown
 	throttledUntil   map[string]time.Time // by rule, until when no new requests of it are sent
 	suspectUntil     time.Time
 	failures         int                      // in a row, without those while the instance was suspect
@@ -42,6 +44,7 @@
 	reportTTL       = 2 * time.Second       // how long a reported load is used
 	smoothing       = 0.3                   // weight of the newest service time in the moving average
 	idleAfter       = 10 * time.Second      // without a request sent, after which the measurements of an instance are stale
+	slowdownTime    = 0.25                  // seconds in which a slowdown decays, as it changes several times a second
 	throttledFor    = 60 * time.Millisecond // about the time until one of the requests ends that fill the rule's concurrency limit
 	evictAfter      = 2 * time.Minute       // without use
 )
@@ -71,14 +74,20 @@
 
 // LoadReported records the load that an instance reported: the requests that run
 // or wait there, its concurrency limit and the mean service time of the rule in
-// seconds, 0 when unknown. now is when the report was received; a load that was received
-// before the known one is ignored.
-func (t *Tracker) LoadReported(now time.Time, id, rule string, busy, limit int, serviceTime float64) {
+// seconds, 0 when unknown. Slowdown is how long work takes there at this moment relative to
+// usual, 0 when unknown. now is when the report was received; a load that was received before
+// the known one is ignored.
+func (t *Tracker) LoadReported(now time.Time, id, rule string, busy, limit int, serviceTime, slowdown float64) {
 	in := t.get(now, id)
+	if slowdown <= 0 {
+		slowdown = 1
+	}
 	if !now.Before(in.reportedAt) {
 		in.reportedBusy, in.reportedLimit, in.reportedAt, in.inflightAtReport = busy, limit, now, in.inflight
+		in.slowdown = slowdown
 	}
 	if serviceTime > 0 {
+		serviceTime /= slowdown
 		if old := in.serviceTimes[rule]; old > 0 {
 			serviceTime = old + smoothing*(serviceTime-old)
 		}
@@ -137,6 +146,7 @@
 	}
 	if age := now.Sub(in.reportedAt); age < reportTTL {
 		c.Age = max(age, 0).Seconds()
+		c.ServiceTime *= 1 + (in.slowdown-1)*math.Exp(-c.Age/slowdownTime)
 		c.Busy = max(float64(in.inflight), float64(in.reportedBusy+in.inflight-in.inflightAtReport))
 		if in.reportedLimit > 0 {
 			c.Limit = float64(in.reportedLimit)
--- a/io/berylproxy/proxy.go
+++ b/io/berylproxy/proxy.go
@@ -107,7 +107,7 @@
 	for _, peer := range peers {
 		p.peers[peer.Host] = peer
 		if peer.Heartbeat.ServerID != "" && now.Sub(peer.LastSeen) < PeerTimeout {
-			p.tracker.LoadReported(peer.LastSeen, peer.Heartbeat.ServerID, "", peer.Heartbeat.Busy, peer.Heartbeat.Limit, 0)
+			p.tracker.LoadReported(peer.LastSeen, peer.Heartbeat.ServerID, "", peer.Heartbeat.Busy, peer.Heartbeat.Limit, 0, float64(peer.Heartbeat.Slowdown)/100)
 		}
 	}
 	hosts := map[string]bool{p.Host: true}
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -246,7 +246,7 @@
 	defer p.mu.Unlock()
 	p.tracker.Ended(now, id)
 	if reply.HasLoad {
-		p.tracker.LoadReported(now, id, q.rule.Name, reply.Busy, reply.Limit, reply.MeanServiceTime.Seconds())
+		p.tracker.LoadReported(now, id, q.rule.Name, reply.Busy, reply.Limit, reply.MeanServiceTime.Seconds(), reply.Slowdown)
 	}
 	switch {
 	case reply.Outcome == berylattempt.Answered:
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -6,7 +6,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +16,7 @@
 	"berylspan/core/berylinflight"
 	"berylspan/core/beryllifetime"
 	"berylspan/core/berylregistration"
+	"berylspan/core/berylserverload"
 	"berylspan/core/berylserverstatus"
 	"berylspan/io/berylconnpool"
 	"berylspan/io/berylpanic"
@@ -46,7 +46,8 @@
 	ranks          map[string]int         // rank of the latest request, by rule
 	slots          int
 	abandoned      int       // requests that the server still has after they were given up here
-	loadReportedAt time.Time // when abandoned was determined
+	loadReportedAt time.Time // when abandoned and slowdown were determined
+	slowdown       float64   // of the server at that time, 0 when it did not say
 	startPending   bool      // a timer will start waiting requests
 	shuttingDown   bool
 	lifetime       beryllifetime.Lifetime   // of the server that status belongs to
@@ -72,6 +73,7 @@
 	usableShare   = 0.95                  // fraction of the slots that is used, as some servers slow down above it
 	expiryMargin  = 25 * time.Millisecond // a waiting request is refused this long before its deadline, so that its sender learns in time that it has not run
 	loadReportTTL = 2 * time.Second       // how long the load that the server reported is used
+	slowdownTTL   = time.Second           // how long a slowdown that the server reported is passed on
 )
 
 // OnRequestEnd sets a function that is called at the end of every request.
@@ -379,26 +381,36 @@
 	h.Set(name, value)
 }
 
-// recordServerLoad evaluates the load that the server reports: running requests, waiting
-// requests and slots, separated by commas. Requests that it has beyond those sent from
-// here are requests that were given up. The caller holds the lock.
-func (r *Runner) recordServerLoad(load string) {
-	running, rest, _ := strings.Cut(load, ",")
-	waiting, _, ok := strings.Cut(rest, ",")
+// recordServerLoad evaluates the load that the server reports. Requests that it has beyond
+// those sent from here are requests that were given up. The caller holds the lock.
+func (r *Runner) recordServerLoad(value string) {
+	load, ok := berylserverload.Parse(value)
 	if !ok {
 		return
 	}
-	runningCount, err := strconv.Atoi(strings.TrimSpace(running))
-	waitingCount, err2 := strconv.Atoi(strings.TrimSpace(waiting))
-	if err != nil || err2 != nil {
-		return
-	}
 	ownRunning, _, _ := r.admission.State()
-	r.abandoned = max(0, runningCount+waitingCount-ownRunning-1)
+	r.abandoned = max(0, load.Running+load.Waiting-ownRunning-1)
+	r.slowdown = load.Slowdown
 	r.loadReportedAt = time.Now()
 	r.updateLimit()
 }
 
+// Slowdown returns how long work takes on the backend server, relative to usual, 0 when it did
+// not say so recently.
+func (r *Runner) Slowdown() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.currentSlowdown()
+}
+
+// currentSlowdown is Slowdown for a caller that holds the lock.
+func (r *Runner) currentSlowdown() float64 {
+	if time.Since(r.loadReportedAt) > slowdownTTL {
+		return 0
+	}
+	return r.slowdown
+}
+
 // addLoad adds the load of the backend server to a reply.
 func (r *Runner) addLoad(rule string, reply *berylreply.Reply) {
 	r.mu.Lock()
@@ -406,4 +418,5 @@
 	running, waiting, limit := r.admission.State()
 	reply.HasLoad = true
 	reply.Busy, reply.Limit, reply.MeanServiceTime = running+waiting, limit, r.admission.MeanServiceTime(rule)
+	reply.Slowdown = r.currentSlowdown()
 }
