--- a/io/berylproxy/proxy.go
+++ b/io/berylproxy/proxy.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"berylspan/core/berylevenness"
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylplacement"
 	"berylspan/core/berylretries"
@@ -141,4 +142,26 @@
 	return p.fleetSize
 }
 
+// Evenness returns how evenly the load of each service is spread over its servers in the own
+// data centre, as far as this instance knows.
+func (p *Proxy) Evenness() map[string]berylevenness.Evenness {
+	now := time.Now()
+	state := p.State()
+	out := map[string]berylevenness.Evenness{}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for service, list := range state.ServersByService {
+		cs := make([]berylplacement.Candidate, len(list))
+		for i, entry := range list {
+			cs[i] = p.tracker.Candidate(now, entry.ID, "", entry.Slots)
+			cs[i].OtherZone = entry.Zone != p.Zone
+			cs[i].Excluded = entry.Leaving
+		}
+		if e, ok := berylevenness.Measure(cs); ok {
+			out[service] = e
+		}
+	}
+	return out
+}
+
 func random() float64 { return rand.Float64() }
