--- a/core/berylplacement/choose.go
+++ b/core/berylplacement/choose.go
@@ -146,9 +146,10 @@
 }
 
 // interpret sets the servers to choose from and returns the rate per second at which requests
-// are sent to them by the instances of the data centre.
+// are sent to the nearest ones.
 func (ch *Chooser) interpret(cs []Candidate, costs Costs, mean float64) (rate float64) {
-	utilisation := meanUtilisation(cs)
+	home := nearest(cs)
+	utilisation := meanUtilisation(cs, home)
 	ch.servers = ch.servers[:0]
 	rate = 1 / mean // of this instance, as if the request to be placed were one of those that always run
 	for i := range cs {
@@ -162,9 +163,9 @@
 		if c.Age == UnknownAge {
 			busy = max(busy, utilisation*s.limit)
 		}
-		if !c.OtherZone && busy > 0 {
-			// Other data centres have instances of their own that send there, so what ended there
-			// is not replaced by what is sent from here.
+		if c.distance() == home && busy > 0 {
+			// Servers further away have instances of their own that send there, so what ended
+			// there is not replaced by what is sent from here.
 			others := max(busy-c.Own, 0) / busy
 			s.remaining = c.Own + others*left
 			rate += others * min(busy, s.limit) / t
@@ -261,11 +262,41 @@
 	return sum / float64(n)
 }
 
-// meanUtilisation returns the utilisation of the servers of the own data centre whose load is known.
-func meanUtilisation(cs []Candidate) float64 {
+// distance is 0 in the own data centre, 1 in another one of the own region and 2 in another region.
+func (c *Candidate) distance() int {
+	switch {
+	case c.OtherRegion:
+		return 2
+	case c.OtherZone:
+		return 1
+	}
+	return 0
+}
+
+// nearest returns the least distance of a candidate that is not excluded and, if there is one, not
+// suspect: where the requests of the instances here go unless they find no room.
+func nearest(cs []Candidate) int {
+	least, leastSuspect := math.MaxInt, math.MaxInt
+	for i := range cs {
+		switch c := &cs[i]; {
+		case c.Excluded:
+		case c.Suspect:
+			leastSuspect = min(leastSuspect, c.distance())
+		default:
+			least = min(least, c.distance())
+		}
+	}
+	if least == math.MaxInt {
+		return leastSuspect
+	}
+	return least
+}
+
+// meanUtilisation returns the utilisation of the servers at a distance whose load is known.
+func meanUtilisation(cs []Candidate, home int) float64 {
 	busy, limit := 0.0, 1.0
 	for i := range cs {
-		if c := &cs[i]; !c.OtherZone && c.Age != UnknownAge {
+		if c := &cs[i]; c.distance() == home && c.Age != UnknownAge {
 			busy += c.Busy
 			limit += c.Limit
 		}
--- a/core/berylplacement/herd_test.go
+++ b/core/berylplacement/herd_test.go
@@ -92,6 +92,21 @@
 	require.Less(t, last, 0.8)
 }
 
+// The servers of the own data centre have failed, and all its instances have the same old reports
+// of those elsewhere.
+func TestLossOfOwnDataCentreSpreadsRequestsOverOthers(t *testing.T) {
+	for _, own := range []Candidate{{Excluded: true}, {Suspect: true, Age: UnknownAge, Limit: 20}} {
+		cs := []Candidate{own}
+		for range 5 {
+			cs = append(cs, Candidate{Busy: 10, Limit: 20, ServiceTime: 0.1, Age: 0.4, OtherZone: true})
+		}
+		cs[1].Busy = 6
+		got := shares(cs, Costs{CrossZone: CrossZoneCost})
+		require.Zero(t, got[0])
+		require.Less(t, got[1], 0.35)
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	cs := make([]Candidate, 40)
 	for i := range cs {
