--- a/core/berylsimulation/instance.go
+++ b/core/berylsimulation/instance.go
@@ -23,6 +23,7 @@
 	generation int // changes on every stop and start
 
 	tracker *beryltracker.Tracker
+	chooser berylplacement.Chooser
 
 	admission *beryladmission.Controller[*job]
 	inflight  *berylinflight.Limiter
@@ -116,7 +117,7 @@
 	in.tracker.Ended(now, to.id)
 	switch {
 	case r.hasLoad:
-		in.tracker.LoadReported(now, to.id, q.rule.Name, r.busy, r.limit, r.serviceTime)
+		in.tracker.LoadReported(now, to.id, q.rule.Name, r.busy, r.limit, r.serviceTime, 0)
 		if r.throttled {
 			in.tracker.Throttled(now, to.id, q.rule.Name)
 		}
@@ -154,7 +155,7 @@
 	if throttled {
 		berylplacement.ExcludeThrottled(cs)
 	}
-	i, _ := berylplacement.Choose(cs, berylplacement.Costs{CrossZone: berylplacement.CrossZoneCost}, in.m.rng.Float64)
+	i, _ := in.chooser.Choose(cs, berylplacement.Costs{CrossZone: berylplacement.CrossZoneCost}, in.m.rng.Float64)
 	if i < 0 {
 		return nil
 	}
--- a/io/berylproxy/proxy.go
+++ b/io/berylproxy/proxy.go
@@ -9,7 +9,9 @@
 	"sync"
 	"time"
 
+	"berylspan/core/berylevenness"
 	"berylspan/core/berylheadernames"
+	"berylspan/core/berylplacement"
 	"berylspan/core/berylretries"
 	"berylspan/core/berylslowstart"
 	"berylspan/core/berylsplitter"
@@ -60,6 +62,8 @@
 	mu           sync.Mutex
 	tracker      *beryltracker.Tracker
 	slowStart    *berylslowstart.SlowStart // of data centres whose evacuation was taken back
+	chooser      berylplacement.Chooser
+	candidates   []berylplacement.Candidate // memory of chooseInstance
 	splitters    map[string]*berylsplitter.Splitter
 	retryBudgets map[string]*berylretries.Budget
 	timeLimits   map[string]*beryltimelimit.Estimator // of root requests, by rule
@@ -107,7 +111,7 @@
 	for _, peer := range peers {
 		p.peers[peer.Host] = peer
 		if peer.Heartbeat.ServerID != "" && now.Sub(peer.LastSeen) < PeerTimeout {
-			p.tracker.LoadReported(peer.LastSeen, peer.Heartbeat.ServerID, "", peer.Heartbeat.Busy, peer.Heartbeat.Limit, 0)
+			p.tracker.LoadReported(peer.LastSeen, peer.Heartbeat.ServerID, "", peer.Heartbeat.Busy, peer.Heartbeat.Limit, 0, float64(peer.Heartbeat.Slowdown)/100)
 		}
 	}
 	hosts := map[string]bool{p.Host: true}
@@ -142,4 +146,26 @@
 	return p.fleetSize
 }
 
+// Evenness returns how evenly the load of each service is spread over its servers in the own
+// data centre, as far as this instance knows.
+func (p *Proxy) Evenness() map[string]berylevenness.Evenness {
+	now := time.Now()
+	state := p.State()
+	out := map[string]berylevenness.Evenness{}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for service, list := range state.ServersByService {
+		cs := make([]berylplacement.Candidate, len(list))
+		for i, entry := range list {
+			cs[i] = p.tracker.Candidate(now, entry.ID, "", entry.Slots)
+			cs[i].OtherZone = entry.Zone != p.Zone
+			cs[i].Excluded = entry.Leaving
+		}
+		if e, ok := berylevenness.Measure(cs); ok {
+			out[service] = e
+		}
+	}
+	return out
+}
+
 func random() float64 { return rand.Float64() }
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -176,12 +176,12 @@
 // the lock.
 func (p *Proxy) chooseFrom(q *request, st *attemptState, list []berylregistration.Registration) (berylregistration.Registration, bool) {
 	now := time.Now()
-	candidates := make([]berylplacement.Candidate, len(list))
 	if q.outgoing.Trial {
 		return p.chooseTrial(q, st, list)
 	}
 	throttled := false
-	for i, entry := range list {
+	candidates := p.candidates[:0]
+	for _, entry := range list {
 		c := p.tracker.Candidate(now, entry.ID, q.rule.Name, entry.Slots)
 		c.OtherZone = entry.Zone != p.Zone
 		c.Cold = entry.Warm > 0
@@ -192,19 +192,24 @@
 			c.Excluded = c.Excluded || peer.Heartbeat.Leaving
 			c.Suspect = c.Suspect || p.isSilent(now, peer)
 		}
-		candidates[i] = c
+		candidates = append(candidates, c)
 	}
+	p.candidates = candidates
 	if throttled {
 		st.overloaded = true
 		berylplacement.ExcludeThrottled(candidates)
 	}
-	i, _ := berylplacement.Choose(candidates, berylplacement.Costs{CrossZone: berylplacement.CrossZoneCost}, random)
+	i, _ := p.chooser.Choose(candidates, placementCosts(), random)
 	if i < 0 {
 		return berylregistration.Registration{}, false
 	}
 	return list[i], true
 }
 
+func placementCosts() berylplacement.Costs {
+	return berylplacement.Costs{CrossZone: berylplacement.CrossZoneCost, CrossRegion: berylplacement.CrossRegionCost}
+}
+
 // setServer sets the backend server that the next attempt is meant for.
 func (p *Proxy) setServer(q *request, to berylregistration.Registration) {
 	p.mu.Lock()
@@ -241,7 +246,7 @@
 	defer p.mu.Unlock()
 	p.tracker.Ended(now, id)
 	if reply.HasLoad {
-		p.tracker.LoadReported(now, id, q.rule.Name, reply.Busy, reply.Limit, reply.MeanServiceTime.Seconds())
+		p.tracker.LoadReported(now, id, q.rule.Name, reply.Busy, reply.Limit, reply.MeanServiceTime.Seconds(), reply.Slowdown)
 	}
 	switch {
 	case reply.Outcome == berylattempt.Answered:
