Look at a queued request again when it is started

Cause: the queue beside a server looked at the list on arrival only.

Change: a request that has waited is checked again at its start: sender gone, deadline passed, server leaving, evacuated, no longer listed or another one. It then goes back to its sender as unsent, which tries elsewhere. When the list says that the server leaves, is gone or evacuated, all waiting requests go back at once. A request for a server that the list calls leaving is refused on arrival too.

--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -36,6 +36,7 @@
 	onAnswered     func(req *berylrequest.Request)
 	checkSuspect   func(req *berylrequest.Request) (suspect bool, wait time.Duration)
 	isEvacuated    func() bool // the data centre of the backend server
+	isListed       func(serverID string) bool
 
 	mu             sync.Mutex
 	pool           *berylconnpool.Pool
@@ -64,8 +65,8 @@
 
 // waiter is a request that waits for a slot.
 type waiter struct {
-	ready   chan struct{} // closed when a slot is granted or expired is set
-	expired bool
+	ready   chan struct{} // closed when a slot is granted or refusal is set
+	refusal string        // reason why it is refused, "" if it is not
 }
 
 const (
@@ -98,6 +99,7 @@
 		onAnswered:     func(*berylrequest.Request) {},
 		checkSuspect:   func(*berylrequest.Request) (bool, time.Duration) { return false, 0 },
 		isEvacuated:    func() bool { return false },
+		isListed:       func(string) bool { return true },
 		flights:        map[*flight]struct{}{},
 		admission:      beryladmission.New[*waiter](initialLimit),
 		callGraph:      berylcallgraph.New(),
@@ -162,7 +164,7 @@
 // Run waits for a slot and runs the request on the backend server.
 func (r *Runner) Run(ctx context.Context, req *berylrequest.Request) *berylreply.Reply {
 	start := time.Now()
-	reply := r.checkServer(req)
+	reply := r.checkArrival(req)
 	if reply == nil {
 		r.adoptLimit(req)
 	}
@@ -174,6 +176,9 @@
 		admissionRequest := beryladmission.Request{Rank: req.Rank, Nested: req.Nested, Kind: req.Rule, TimeToDeadline: req.Deadline.Sub(start), TimeToTarget: req.TargetTime.Sub(start)}
 		reply = r.acquireSlot(ctx, admissionRequest)
 		queueTime = time.Since(start)
+		if reply == nil {
+			reply = r.checkStart(ctx, req, admissionRequest, queueTime)
+		}
 		if reply == nil {
 			reply = r.send(ctx, req, admissionRequest)
 		}
@@ -185,15 +190,12 @@
 }
 
 // checkServer refuses a request that is meant for another backend server, unless the
-// list entry known here is older than the one that the sender used. During shutdown it
-// refuses every request.
+// list entry known here is older than the one that the sender used, or whose server is leaving,
+// evacuated or no longer listed.
 func (r *Runner) checkServer(req *berylrequest.Request) *berylreply.Reply {
 	entry, known := r.listEntry()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.shuttingDown {
-		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonShuttingDown)
-	}
 	if known {
 		r.listed = entry.Lifetime()
 	}
@@ -203,9 +205,12 @@
 		reply.ActualServerID = entry.ID
 		return reply
 	}
-	if r.status.Leaving && r.lifetime == req.Lifetime() {
+	if (r.status.Leaving && r.lifetime == req.Lifetime()) || (known && entry.Leaving && entry.Lifetime() == req.Lifetime()) {
 		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonServerLeaving)
 	}
+	if r.isGone(known, req.Lifetime()) {
+		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonWrongServer)
+	}
 	if r.isEvacuated() {
 		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonEvacuated)
 	}
@@ -246,8 +251,8 @@
 	defer timer.Stop()
 	select {
 	case <-w.ready:
-		if w.expired {
-			return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonExpired)
+		if w.refusal != "" {
+			return berylreply.NewFailure(berylattempt.Unsent, w.refusal)
 		}
 		return nil
 	case <-ctx.Done():
@@ -255,7 +260,7 @@
 	}
 	if !r.removeWaiter(w) {
 		<-w.ready
-		if !w.expired {
+		if w.refusal == "" {
 			r.releaseSlot(req, 0, false)
 		}
 	}
@@ -295,7 +300,9 @@
 		if !ok {
 			break
 		}
-		w.expired = expired
+		if expired {
+			w.refusal = berylreply.ReasonExpired
+		}
 		close(w.ready)
 	}
 	wait, ok := r.admission.NextStart(time.Now())
--- a/io/berylsidecar/evacuation.go
+++ b/io/berylsidecar/evacuation.go
@@ -14,6 +14,12 @@
 	return st.Evacuated.Contains(set.Zone) || (ok && st.Evacuated.Contains(entry.Zone))
 }
 
+// isListed reports whether a server is in the published list.
+func (s *Sidecar) isListed(serverID string) bool {
+	_, ok := s.view.State().Servers[serverID]
+	return ok
+}
+
 // watchEvacuations adds gauges of the evacuations that are in force.
 func (m *meter) watchEvacuations(count func() int, own func() bool) {
 	m.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -64,6 +64,7 @@
 	if s.enter.FleetSize() <= berylproxy.MaxFullMeshSize || !s.near(from) {
 		s.say(false)
 	}
+	s.beside.ListChanged()
 	s.look()
 }
 
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -103,7 +103,7 @@
 		CheckSuspect: s.crashes.Check,
 	})
 	s.beside = berylrunner.New(set.Backend, names, s.own, berylrunner.OnRequestEnd(s.seen), berylrunner.OnServerStatus(s.serverStatus),
-		berylrunner.OnServerEnd(s.serverEnded), berylrunner.OnAnswered(s.crashes.Answered), berylrunner.CheckSuspect(s.crashes.Check), berylrunner.Evacuated(s.evacuated), berylrunner.Guard(s.guard.Run))
+		berylrunner.OnServerEnd(s.serverEnded), berylrunner.OnAnswered(s.crashes.Answered), berylrunner.CheckSuspect(s.crashes.Check), berylrunner.Evacuated(s.evacuated), berylrunner.IsListed(s.isListed), berylrunner.Guard(s.guard.Run))
 	s.meter.watchServer(s.beside.ServerStatus)
 	s.meter.watchSuspects(s.crashes.Suspects)
 	s.meter.watchEvacuations(func() int { return len(s.view.State().Evacuated) }, s.evacuated)
