Run requests with homes in the allowed regions only [ready]

Cause: allowed_regions of routes and tenants were not read.

Change: rules and accounts have Regions; servers in other regions are left out before anything is chosen. Where both name regions, both bind. Without a home in reach the answer is 503, not run. The settings tell the regions of data centres. Candidates of placement say whether they are in another region; that counts as another data centre for now.

--- a/core/beryljson/node.go
+++ b/core/beryljson/node.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -175,6 +176,19 @@
 	return Node{value: m[name], path: joinPath(n.path, name), file: n.file, findings: n.findings}
 }
 
+// Names returns the sorted names of the members of an object, nil if the node does not exist.
+func (n Node) Names() []string {
+	if !n.Exists() {
+		return nil
+	}
+	m, ok := n.value.(map[string]any)
+	if !ok {
+		n.AddFinding("must be an object")
+		return nil
+	}
+	return slices.Sorted(maps.Keys(m))
+}
+
 // Items returns the elements of an array, nil if the node does not exist.
 func (n Node) Items() []Node {
 	if !n.Exists() {
--- a/core/berylplacement/choose.go
+++ b/core/berylplacement/choose.go
@@ -14,6 +14,7 @@
 	Limit       float64 // concurrency limit
 	ServiceTime float64 // seconds that a request runs, 0 when unknown
 	OtherZone   bool    // in another data centre
+	OtherRegion bool    // in another region; OtherZone is then set too
 	Cold        bool    // started recently
 	Suspect     bool    // recent requests to it failed
 	Throttled   bool    // recently refused new requests of the rule
--- a/core/berylrule/rule.go
+++ b/core/berylrule/rule.go
@@ -12,7 +12,8 @@
 // at most once. Timeout bounds how long a caller waits for its answer, 0 for no
 // bound. An answer within TargetLatency has its full value to the caller. Priority
 // 0 is the most important. MaxAttempts bounds how many backend servers are sent a
-// request. Requests of a rule that is exempt from authentication need no API key.
+// request. Requests of a rule that is exempt from authentication need no API key. Requests
+// may run in the named Regions only, in all if none is named.
 type Rule struct {
 	Name          string
 	Host          string
@@ -23,5 +24,6 @@
 	Priority      int
 	MaxAttempts   int
 	AuthExempt    bool
+	Regions       []string
 	Destinations  []beryldestination.Destination
 }
--- a/io/berylproxy/check.go
+++ b/io/berylproxy/check.go
@@ -9,6 +9,7 @@
 
 	"berylspan/core/berylaccount"
 	"berylspan/core/berylbackoff"
+	"berylspan/core/berylhomes"
 	"berylspan/core/berylhttpconfig"
 	"berylspan/core/berylrule"
 	"berylspan/core/berylsplitter"
@@ -37,6 +38,7 @@
 type request struct {
 	*berylhttpserver.Request
 	rule       *berylrule.Rule
+	homes      berylhomes.Homes // regions in which it may run
 	account    *berylaccount.Account
 	tokenTaken bool // whether a rate limit token of the workspace was taken
 	outgoing   *berylrequest.Request
@@ -118,6 +120,7 @@
 	if q.Length > config.MaxBodyBytes {
 		return p.refuse(q, http.StatusRequestEntityTooLarge, reasonBodyTooLong, 0)
 	}
+	q.homes = homes(q.rule, q.account)
 	p.buildOutgoing(q, config, id, key)
 	if !q.outgoing.Deadline.After(time.Now()) {
 		return p.refuse(q, http.StatusServiceUnavailable, reasonNoTimeLeft, 0)
--- a/io/berylproxy/proxy.go
+++ b/io/berylproxy/proxy.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"berylspan/core/berylheadernames"
+	"berylspan/core/berylregions"
 	"berylspan/core/berylretries"
 	"berylspan/core/berylslowstart"
 	"berylspan/core/berylsplitter"
@@ -32,6 +33,7 @@
 	Zone     string        // data centre of this instance
 	Port     string        // on which other instances are reached
 	Service  func() string // service of the local backend server
+	Regions  func() *berylregions.Regions
 	State    func() *berylstorecache.State
 	StateAge func() time.Duration
 
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -175,7 +175,7 @@
 // chooseFrom returns the best of the instances in list that has not been tried. The caller holds
 // the lock.
 func (p *Proxy) chooseFrom(q *request, st *attemptState, list []berylregistration.Registration) (berylregistration.Registration, bool) {
-	now := time.Now()
+	now, regions := time.Now(), p.Regions()
 	candidates := make([]berylplacement.Candidate, len(list))
 	if q.outgoing.Trial {
 		return p.chooseTrial(q, st, list)
@@ -184,6 +184,7 @@
 	for i, entry := range list {
 		c := p.tracker.Candidate(now, entry.ID, q.rule.Name, entry.Slots)
 		c.OtherZone = entry.Zone != p.Zone
+		c.OtherRegion = regions.Other(entry.Zone)
 		c.Cold = entry.Warm > 0
 		c.Excluded = st.tried[entry.ID] || entry.Leaving || p.tracker.Status(entry.ID, entry.Born).Leaving
 		throttled = throttled || (c.Throttled && !q.outgoing.Nested)
--- a/io/berylproxy/servers.go
+++ b/io/berylproxy/servers.go
@@ -4,12 +4,28 @@
 	"slices"
 	"time"
 
+	"berylspan/core/berylaccount"
+	"berylspan/core/berylhomes"
 	"berylspan/core/berylregistration"
+	"berylspan/core/berylrule"
 	"berylspan/io/berylreply"
 )
 
 // Reasons for refusing a request before it is sent to any instance.
-const reasonEvacuated = berylreply.ReasonEvacuated // all servers of its service are in evacuated data centres
+const (
+	reasonEvacuated = berylreply.ReasonEvacuated // all servers of its service are in evacuated data centres
+	reasonNoHome    = "no home"                  // none of the servers of its service is in a region that the rule and the workspace allow
+)
+
+// homes returns the regions in which a request of the rule and the account, nil without one, may
+// run.
+func homes(rule *berylrule.Rule, account *berylaccount.Account) berylhomes.Homes {
+	h := berylhomes.Homes{Rule: rule.Regions}
+	if account != nil {
+		h.Workspace = account.Regions
+	}
+	return h
+}
 
 // chooseInstance returns the best instance that has not been tried. A data centre that has
 // returned from an evacuation is left out of some of the choices, unless no other can be chosen.
@@ -26,13 +42,16 @@
 }
 
 // usableServers returns the servers that a request may be sent to, tried or not. Those in
-// evacuated data centres are not among them.
+// evacuated data centres and outside the homes of the request are not among them.
 func (p *Proxy) usableServers(q *request, st *attemptState) []berylregistration.Registration {
 	list := p.State().ServersByService[q.outgoing.Service]
-	if len(st.evacuated) > 0 {
-		list = slices.DeleteFunc(slices.Clone(list), func(r berylregistration.Registration) bool { return slices.Contains(st.evacuated, r.Zone) })
+	if len(st.evacuated) == 0 && !q.homes.Bound() {
+		return list
 	}
-	return list
+	regions := p.Regions()
+	return slices.DeleteFunc(slices.Clone(list), func(r berylregistration.Registration) bool {
+		return slices.Contains(st.evacuated, r.Zone) || !q.homes.Allow(regions.Of(r.Zone))
+	})
 }
 
 // withoutReturning returns the servers without those in data centres whose share of the requests
@@ -52,13 +71,20 @@
 
 // reasonUnplaced returns the reason why no instance could be chosen for a request.
 func (p *Proxy) reasonUnplaced(q *request) string {
-	state := p.State()
-	if len(state.Evacuated) > 0 && len(state.ServersByService[q.outgoing.Service]) == 0 {
-		for _, r := range state.ServersByAddr {
-			if r.Service == q.outgoing.Service {
-				return reasonEvacuated
+	state, regions := p.State(), p.Regions()
+	reason := reasonNoInstance
+	for _, r := range state.ServersByAddr {
+		switch {
+		case r.Service != q.outgoing.Service:
+		case !q.homes.Allow(regions.Of(r.Zone)):
+			if reason == reasonNoInstance {
+				reason = reasonNoHome
 			}
+		case !state.Evacuated.Contains(r.Zone):
+			return reasonNoInstance // It has been tried or is leaving.
+		default:
+			reason = reasonEvacuated
 		}
 	}
-	return reasonNoInstance
+	return reason
 }
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -14,6 +14,7 @@
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylhttpconfig"
 	"berylspan/core/berylramp"
+	"berylspan/core/berylregions"
 	"berylspan/core/berylregistration"
 	"berylspan/core/berylreserve"
 	"berylspan/core/berylserverstatus"
@@ -36,10 +37,11 @@
 
 // Sidecar is one running daemon.
 type Sidecar struct {
-	set   atomic.Pointer[Settings]
-	names berylheadernames.Names
-	log   zerolog.Logger
-	start int64
+	set     atomic.Pointer[Settings]
+	regions atomic.Pointer[berylregions.Regions]
+	names   berylheadernames.Names
+	log     zerolog.Logger
+	start   int64
 
 	view   *berylstorecache.StoreCache
 	gossip *berylgossip.Gossip
@@ -72,7 +74,7 @@
 // New returns a sidecar that does nothing before Start.
 func New(set Settings, names berylheadernames.Names, feed berylstorecache.Source, log zerolog.Logger) *Sidecar {
 	s := &Sidecar{names: names, log: log, start: time.Now().UnixMilli(), meter: newMeter(), reserve: berylreserve.New(), ramp: berylramp.New(time.Now())}
-	s.set.Store(&set)
+	s.take(set)
 	s.puller = &http.Client{Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: pullDial, Control: berylmesh.SetTCPUserTimeout}).DialContext, IdleConnTimeout: pullIdle,
 		MaxResponseHeaderBytes: maxHeadSize, DisableCompression: true,
@@ -90,6 +92,7 @@
 	s.enter = berylproxy.New(&berylproxy.Proxy{
 		Names: names, Host: set.Host, Zone: set.Zone, Port: set.Work,
 		Service: func() string { return s.set.Load().Service },
+		Regions: s.regions.Load,
 		State:   s.view.State, StateAge: s.view.Age,
 		RunLocal:    s.run,
 		SendRemote:  s.mesh.Send,
@@ -227,9 +230,15 @@
 	return berylhttpserver.Limits{MaxHeaderBytes: p.MaxHeaderBytes, MaxBodyBytes: p.MaxBodyBytes, HeaderTimeout: p.HeaderTimeout, IdleTimeout: p.IdleTimeout}
 }
 
+// take takes over settings.
+func (s *Sidecar) take(set Settings) {
+	s.set.Store(&set)
+	s.regions.Store(berylregions.New(set.Zone, set.Regions))
+}
+
 // Reload takes changed settings. Listeners stay as they are.
 func (s *Sidecar) Reload(set Settings) {
-	s.set.Store(&set)
+	s.take(set)
 	s.beside.SetAddr(set.Backend)
 	s.log.Info().Str("service", set.Service).Str("backend", set.Backend).Msg("settings reloaded")
 }
