--- a/io/berylsidecar/wire_test.go
+++ b/io/berylsidecar/wire_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"berylspan/core/berylevacuation"
 	"berylspan/core/berylregistration"
 	"berylspan/io/berylgossip"
 	"berylspan/io/berylratelimiter"
@@ -51,3 +52,22 @@
 		})
 	}
 }
+
+// An instance that does not know which data centres are evacuated must not end evacuations at
+// others.
+func TestSnapshotTellsNoEvacuationsFromUnknownOnes(t *testing.T) {
+	var unknown berylevacuation.Zones
+	for name, evacuated := range map[string]*berylevacuation.Zones{"unknown": &unknown, "none": {}, "one": {"z1": 3}} {
+		t.Run(name, func(t *testing.T) {
+			encoded, err := cbor.Marshal(berylstorecache.Snapshot{Evacuated: evacuated})
+			require.NoError(t, err)
+			var decoded berylstorecache.Snapshot
+			require.NoError(t, cbor.Unmarshal(encoded, &decoded))
+			if *evacuated == nil {
+				require.Nil(t, decoded.Evacuated)
+				return
+			}
+			require.Equal(t, evacuated, decoded.Evacuated)
+		})
+	}
+}
--- a/io/berylstorecache/state.go
+++ b/io/berylstorecache/state.go
@@ -24,8 +24,8 @@
 	ServersByService map[string][]berylregistration.Registration // sorted by ID, without those in evacuated data centres
 	ServersByAddr    map[string]berylregistration.Registration   // by address of the backend server
 	Digest           uint64                                      // of Servers
-	Evacuated        berylevacuation.Zones
-	ConfirmedAt      time.Time // when the store was last known to hold this state
+	Evacuated        berylevacuation.Zones                       // nil while unknown
+	ConfirmedAt      time.Time                                   // when the store was last known to hold this state
 }
 
 // comparePosition orders positions in the history of the store, -1 if the first is earlier.
