--- a/io/berylproxy/proxy.go
+++ b/io/berylproxy/proxy.go
@@ -12,6 +12,7 @@
 	"berylspan/core/berylevenness"
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylplacement"
+	"berylspan/core/berylregions"
 	"berylspan/core/berylretries"
 	"berylspan/core/berylslowstart"
 	"berylspan/core/berylsplitter"
@@ -34,6 +35,7 @@
 	Zone     string        // data centre of this instance
 	Port     string        // on which other instances are reached
 	Service  func() string // service of the local backend server
+	Regions  func() *berylregions.Regions
 	State    func() *berylstorecache.State
 	StateAge func() time.Duration
 
