Keep to what cold backend servers tolerate

A cold server got what a warm one bears. The daemon beside it now starts no more requests in any second than cold_per_s, and others offer it their share. A change of the warm-up time alone reaches all instances.

--- a/core/beryladmission/controller.go
+++ b/core/beryladmission/controller.go
@@ -17,6 +17,7 @@
 	"math"
 	"time"
 
+	"berylspan/core/berylcoldlimit"
 	"berylspan/core/berylpacer"
 )
 
@@ -48,7 +49,8 @@
 // the caller's handle for a waiting request. It is not safe for concurrent use.
 type Controller[T any] struct {
 	limit              int
-	pacer              berylpacer.Pacer // of the starts, while the server names a rate
+	pacer              berylpacer.Pacer     // of the starts, while the server names a rate
+	cold               berylcoldlimit.Limit // of the starts, while the server is cold
 	running            int
 	nestedRunning      int                // running requests that are nested calls
 	newWork            queue[T]           // waiting new work
@@ -100,7 +102,7 @@
 // less than the concurrency limit while a rate is set.
 func (c *Controller[T]) slots() float64 {
 	slots := float64(c.limit)
-	if rate, ok := c.pacer.Rate(); ok {
+	if rate, ok := c.startRate(); ok {
 		return min(slots, rate*max(c.overallServiceTime, minServiceTime))
 	}
 	return slots
@@ -108,7 +110,7 @@
 
 // mayStart reports whether there is a slot, and a start within the rate, for a request.
 func (c *Controller[T]) mayStart(now time.Time) bool {
-	return c.running < c.limit && c.pacer.Wait(now) == 0
+	return c.running < c.limit && c.startWait(now) == 0
 }
 
 // NextStart returns how long it takes until the rate lets a waiting request start. ok is
@@ -117,7 +119,7 @@
 	if c.noneWaiting() || c.running >= c.limit {
 		return 0, false
 	}
-	return c.pacer.Wait(now), true
+	return c.startWait(now), true
 }
 
 // MeanServiceTime returns the moving mean of the time for which requests of a kind
@@ -140,7 +142,7 @@
 // ExpectedWait estimates how long a request that arrives now would wait.
 func (c *Controller[T]) ExpectedWait(now time.Time, r Request) time.Duration {
 	if c.running < c.limit && c.noneWaiting() {
-		return c.pacer.Wait(now)
+		return c.startWait(now)
 	}
 	return c.expectedWait(now, effectiveRank(r), r.Nested)
 }
@@ -225,7 +227,7 @@
 }
 
 func (c *Controller[T]) begin(now time.Time, r Request) {
-	c.pacer.Take(now)
+	c.takeStart(now)
 	c.running++
 	if r.Nested {
 		c.nestedRunning++
--- a/core/berylhttpconfig/config.go
+++ b/core/berylhttpconfig/config.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"berylspan/core/berylaccount"
+	"berylspan/core/berylcoldstart"
 	"berylspan/core/berylrule"
 )
 
@@ -22,6 +23,7 @@
 	HeaderTimeout  time.Duration // from the first byte of a request to the end of its header
 	IdleTimeout    time.Duration // between two requests on a connection
 	MaxConns       map[string]int
+	ColdStarts     map[string]berylcoldstart.ColdStart // by service, of those whose cold backend servers have a limit
 
 	rulesByHost map[string][]*berylrule.Rule
 	byKey       map[string]*berylaccount.Account
@@ -46,7 +48,7 @@
 	c := &Config{
 		Version: version, MaxHeaderBytes: DefaultMaxHeaderBytes, MaxBodyBytes: DefaultMaxBodyBytes,
 		HeaderTimeout: DefaultHeaderTimeout, IdleTimeout: DefaultIdleTimeout,
-		MaxConns: map[string]int{}, rulesByHost: map[string][]*berylrule.Rule{},
+		MaxConns: map[string]int{}, ColdStarts: map[string]berylcoldstart.ColdStart{}, rulesByHost: map[string][]*berylrule.Rule{},
 		byKey: keys, byWorkspace: map[string]*berylaccount.Account{}, ruleCount: len(rules),
 	}
 	for i := range rules {
--- a/io/berylmesh/message.go
+++ b/io/berylmesh/message.go
@@ -22,7 +22,7 @@
 	fieldHost       = ":h"
 	fieldID         = ":i"
 	fieldRule       = ":r" // rule, service, flags (r: idempotent, c: nested call, t: trial), rank and importance
-	fieldServer     = ":t" // id and start time of the backend server, and the limit that it named if any
+	fieldServer     = ":t" // id and start of the backend server, the limit that it named ("-" for none) and that of a cold one, if any
 	fieldWorkspace  = ":w"
 	fieldCaller     = ":c"
 	fieldDeadlines  = ":d" // milliseconds left until the deadline and until the target time
@@ -52,11 +52,7 @@
 		flags += "t"
 	}
 	c.writeField(fieldRule, req.Rule+" "+req.Service+" "+flags+" "+strconv.Itoa(req.Rank)+" "+strconv.Itoa(req.Importance), true)
-	server := req.ServerID + " " + strconv.FormatInt(req.ServerStartMs, 10)
-	if req.ServerLimited {
-		server += " " + strconv.FormatFloat(req.ServerLimit, 'f', -1, 64)
-	}
-	c.writeField(fieldServer, server, true)
+	c.writeField(fieldServer, formatServer(req), true)
 	c.writeField(fieldWorkspace, req.Workspace, true)
 	c.writeField(fieldCaller, req.Caller, true)
 	c.writeField(fieldDeadlines, strconv.FormatInt(req.Deadline.Sub(now).Milliseconds(), 10)+" "+strconv.FormatInt(req.TargetTime.Sub(now).Milliseconds(), 10), false)
@@ -74,6 +70,35 @@
 	return c.writeMessage(req.Body, req.Stream == nil)
 }
 
+// formatServer returns what a request tells of its backend server. Words that come last are
+// left out if they say nothing; older instances ignore further ones.
+func formatServer(req *berylrequest.Request) string {
+	server := req.ServerID + " " + strconv.FormatInt(req.ServerStartMs, 10)
+	switch {
+	case req.ServerLimited:
+		server += " " + strconv.FormatFloat(req.ServerLimit, 'f', -1, 64)
+	case req.ColdPerSecond > 0:
+		server += " -"
+	}
+	if req.ColdPerSecond > 0 {
+		server += " " + strconv.FormatFloat(req.ColdPerSecond, 'f', -1, 64)
+	}
+	return server
+}
+
+// parseServer sets what a request tells of its backend server.
+func parseServer(req *berylrequest.Request, s string) {
+	v := splitWords(s, 4)
+	req.ServerID, req.ServerStartMs = v[0], parseInt(v[1])
+	limit, err := strconv.ParseFloat(v[2], 64) // Fails if the field has no third word.
+	req.ServerLimit, req.ServerLimited = limit, err == nil && limit >= 0
+	if cold, err := strconv.ParseFloat(v[3], 64); err == nil && cold > 0 && cold <= maxColdPerSecond {
+		req.ColdPerSecond = cold
+	}
+}
+
+const maxColdPerSecond = 1e6 // requests; a higher one is malformed
+
 // parseMillis reads a number of milliseconds, like parseInt.
 func parseMillis(s string) time.Duration {
 	n, err := strconv.ParseInt(s, 10, 64)
@@ -121,10 +146,7 @@
 			req.Rule, req.Service, req.Rank, req.Importance = v[0], v[1], int(parseInt(v[3])), int(parseInt(v[4]))
 			req.Idempotent, req.Nested, req.Trial = strings.Contains(v[2], "r"), strings.Contains(v[2], "c"), strings.Contains(v[2], "t")
 		case fieldServer:
-			v := splitWords(f.Value, 3)
-			req.ServerID, req.ServerStartMs = v[0], parseInt(v[1])
-			limit, err := strconv.ParseFloat(v[2], 64) // Fails if the field has no third word.
-			req.ServerLimit, req.ServerLimited = limit, err == nil && limit >= 0
+			parseServer(req, f.Value)
 		case fieldWorkspace:
 			req.Workspace = f.Value
 		case fieldCaller:
--- a/io/berylproxy/proxy.go
+++ b/io/berylproxy/proxy.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"berylspan/core/berylcoldshare"
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylretries"
 	"berylspan/core/berylsplitter"
@@ -64,6 +65,8 @@
 	peers        map[string]berylgossip.Peer
 	remoteSends  map[*remoteSend]struct{}
 	fleetSize    int // instances that take requests
+	coldShares   *berylcoldshare.Shares
+	zoneSizes    map[string]int // listed backend servers, by data centre
 }
 
 // remoteSend is an attempt at another instance that has not ended.
@@ -89,6 +92,7 @@
 	p.peers = map[string]berylgossip.Peer{}
 	p.remoteSends = map[*remoteSend]struct{}{}
 	p.fleetSize = 1
+	p.coldShares = berylcoldshare.New(random)
 	return p
 }
 
@@ -108,8 +112,10 @@
 		}
 	}
 	hosts := map[string]bool{p.Host: true}
+	p.zoneSizes = map[string]int{}
 	for _, entry := range state.ServersByAddr {
 		hosts[entry.Host()] = true
+		p.zoneSizes[entry.Zone]++
 	}
 	for _, peer := range peers {
 		if now.Sub(peer.LastSeen) < PeerTimeout {
@@ -123,6 +129,7 @@
 		}
 	}
 	p.tracker.EvictStale(now)
+	p.coldShares.EvictStale(now)
 }
 
 // isSilent reports whether gossip from an instance is overdue. In a large fleet only
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -9,6 +9,7 @@
 
 	"berylspan/core/berylattempt"
 	"berylspan/core/berylbackoff"
+	"berylspan/core/beryllifetime"
 	"berylspan/core/berylplacement"
 	"berylspan/core/berylregistration"
 	"berylspan/core/berylretries"
@@ -31,6 +32,7 @@
 	maybeRan     bool
 	failedAnswer *berylreply.Reply // error answer, returned unless a retry has a better result
 	retryAfter   time.Duration     // shortest time until an overloaded instance may have room
+	withheld     bool              // it was offered to a cold server beyond the share of this instance
 	overloaded   bool              // an attempt was refused, or an instance passed over, because of overload
 	quarantined  bool              // servers ended while they ran the request, and no trial is possible now
 }
@@ -108,7 +110,7 @@
 			st.quarantined, st.retryAfter = true, reply.RetryAfter
 			return false
 		}
-		if reply.Reason == berylreply.ReasonQueueFull || reply.Reason == berylreply.ReasonExpired || reply.Reason == berylreply.ReasonThrottled {
+		if isOverload(reply.Reason) {
 			st.overloaded = true
 			if st.retryAfter == 0 || reply.RetryAfter < st.retryAfter {
 				st.retryAfter = reply.RetryAfter
@@ -127,6 +129,15 @@
 	return p.takeRetry(ctx, q, st)
 }
 
+// isOverload reports whether an instance refused a request for a reason that passes with time.
+func isOverload(reason string) bool {
+	switch reason {
+	case berylreply.ReasonQueueFull, berylreply.ReasonExpired, berylreply.ReasonThrottled, berylreply.ReasonCold:
+		return true
+	}
+	return false
+}
+
 // startBody sets the streamed body of the next attempt. It returns false if the whole body
 // cannot be sent any more.
 func (q *request) startBody() bool {
@@ -180,11 +191,13 @@
 	if q.outgoing.Trial {
 		return p.chooseTrial(q, st, list)
 	}
+	coldStart := p.coldStart(q.outgoing.Service)
 	throttled := false
+	withheld, withheldCount := -1, 0
 	for i, entry := range list {
 		c := p.tracker.Candidate(now, entry.ID, q.rule.Name, entry.Slots)
 		c.OtherZone = entry.Zone != p.Zone
-		c.Cold = entry.Warm > 0
+		c.Cold = now.Before(entry.ColdUntil)
 		c.Excluded = st.tried[entry.ID] || entry.Leaving || p.tracker.Status(entry.ID, entry.Born).Leaving
 		throttled = throttled || (c.Throttled && !q.outgoing.Nested)
 		host := entry.Host()
@@ -192,6 +205,12 @@
 			c.Excluded = c.Excluded || peer.Heartbeat.Leaving
 			c.Suspect = c.Suspect || p.isSilent(now, peer)
 		}
+		if !c.Excluded && !p.mayOffer(now, entry, coldStart) {
+			c.Excluded = true
+			if withheldCount++; random()*float64(withheldCount) < 1 {
+				withheld = i // Each with the same probability.
+			}
+		}
 		candidates[i] = c
 	}
 	if throttled {
@@ -200,8 +219,11 @@
 	}
 	i, _ := berylplacement.Choose(candidates, berylplacement.Costs{CrossZone: berylplacement.CrossZoneCost}, random)
 	if i < 0 {
-		return berylregistration.Registration{}, false
+		if i = st.offerWithheld(withheld); i < 0 {
+			return berylregistration.Registration{}, false
+		}
 	}
+	p.recordOffer(now, list[i], coldStart)
 	return list[i], true
 }
 
@@ -212,6 +234,7 @@
 	p.mu.Unlock()
 	q.outgoing.ServerID, q.outgoing.ServerStartMs = to.ID, to.Born
 	q.outgoing.ServerLimited, q.outgoing.ServerLimit = status.Limited, status.Limit
+	q.outgoing.ColdPerSecond = p.coldStart(q.outgoing.Service).PerSecond
 }
 
 // attempt sends the request to one instance and records the outcome.
@@ -251,6 +274,8 @@
 		status := p.tracker.Status(id, q.outgoing.ServerStartMs)
 		status.Leaving = true
 		p.tracker.StatusReported(now, id, q.outgoing.ServerStartMs, status)
+	case reply.Reason == berylreply.ReasonCold:
+		p.coldShares.Refused(now, beryllifetime.Lifetime{ID: id, BornMs: q.outgoing.ServerStartMs}, reply.RetryAfter)
 	case reply.Reason == berylreply.ReasonThrottled:
 		p.tracker.Throttled(now, id, q.rule.Name)
 	case reply.Reason == berylreply.ReasonNoConnection, reply.Reason == berylreply.ReasonShuttingDown, reply.Reason == berylreply.ReasonWrongServer,
--- a/io/berylreply/reply.go
+++ b/io/berylreply/reply.go
@@ -38,6 +38,7 @@
 // Reasons for an attempt without an answer.
 const (
 	ReasonQueueFull        = "full"        // the request would wait too long in the queue
+	ReasonCold             = "cold"        // the backend server is cold and has got as many requests as it tolerates
 	ReasonThrottled        = "bound"       // too many requests of its rule are late or fail because a service that they call is overloaded
 	ReasonExpired          = "expired"     // its deadline passed while it waited in the queue
 	ReasonShuttingDown     = "leaving"     // the instance is shutting down
--- a/io/berylrequest/request.go
+++ b/io/berylrequest/request.go
@@ -29,6 +29,7 @@
 	ServerStartMs int64   // start of that backend server in Unix milliseconds, which distinguishes lifetimes under one ID
 	ServerLimited bool    // that server has named a limit, as far as the sender knows
 	ServerLimit   float64 // requests per second, valid if ServerLimited is set
+	ColdPerSecond float64 // requests per second that the server tolerates while it is cold, 0 if the sender knows no limit
 	Workspace     string
 	Caller        string    // service of the instance that received it
 	Idempotent    bool      // may run more than once
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -13,11 +13,13 @@
 	"berylspan/core/beryladmission"
 	"berylspan/core/berylattempt"
 	"berylspan/core/berylcallgraph"
+	"berylspan/core/berylcoldstart"
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylinflight"
 	"berylspan/core/beryllifetime"
 	"berylspan/core/berylregistration"
 	"berylspan/core/berylserverstatus"
+	"berylspan/core/berylwarmup"
 	"berylspan/io/berylconnpool"
 	"berylspan/io/berylpanic"
 	"berylspan/io/berylreply"
@@ -35,6 +37,8 @@
 	onServerEnd    func(berylserverend.ServerEnd)
 	onAnswered     func(req *berylrequest.Request)
 	checkSuspect   func(req *berylrequest.Request) (suspect bool, wait time.Duration)
+	coldStart      func() (start berylcoldstart.ColdStart, known bool)
+	onColdChange   func(serverID string, coldFor time.Duration, perSecond float64)
 
 	mu             sync.Mutex
 	pool           *berylconnpool.Pool
@@ -54,8 +58,11 @@
 	status         berylserverstatus.Status // what the server last said about itself
 	malformedLimit string                   // last limit that could not be read
 	flights        map[*flight]struct{}
-	trial          *flight   // the one suspect that may run, nil without one
-	broken         []*flight // whose connection broke a short time ago
+	warmup         *berylwarmup.Warmup
+	coldStarts     berylcoldstart.ColdStart // of the server
+	coldFor        time.Duration            // how long the server stayed cold when that was last checked
+	trial          *flight                  // the one suspect that may run, nil without one
+	broken         []*flight                // whose connection broke a short time ago
 	possibleEnds   []possibleEnd
 	listed         beryllifetime.Lifetime // of the server in the list when it was last there
 	endChecks      int                    // checks of whether the server has ended that were asked for and are not finished
@@ -65,6 +72,18 @@
 type waiter struct {
 	ready   chan struct{} // closed when a slot is granted or expired is set
 	expired bool
+	cold    bool // dropped because the server became cold
+}
+
+// refusal returns the reply to a request that was not started, or nil.
+func (w *waiter) refusal() *berylreply.Reply {
+	switch {
+	case w.cold:
+		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonCold)
+	case w.expired:
+		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonExpired)
+	}
+	return nil
 }
 
 const (
@@ -98,6 +117,9 @@
 		checkSuspect:   func(*berylrequest.Request) (bool, time.Duration) { return false, 0 },
 		flights:        map[*flight]struct{}{},
 		admission:      beryladmission.New[*waiter](initialLimit),
+		coldStart:      func() (berylcoldstart.ColdStart, bool) { return berylcoldstart.ColdStart{}, true },
+		onColdChange:   func(string, time.Duration, float64) {},
+		warmup:         berylwarmup.New(time.Now()),
 		callGraph:      berylcallgraph.New(),
 		limiter:        berylinflight.New(),
 		running:        map[string]int{},
@@ -168,6 +190,9 @@
 	if reply == nil {
 		reply = r.checkThrottle(req)
 	}
+	if reply == nil {
+		reply = r.checkCold()
+	}
 	if reply == nil {
 		admissionRequest := beryladmission.Request{Rank: req.Rank, Nested: req.Nested, Kind: req.Rule, TimeToDeadline: req.Deadline.Sub(start), TimeToTarget: req.TargetTime.Sub(start)}
 		reply = r.acquireSlot(ctx, admissionRequest)
@@ -196,6 +221,7 @@
 		r.listed = entry.Lifetime()
 	}
 	r.trackLifetime(r.newestLifetime(entry, known, req))
+	r.updateCold(entry, known, req.ColdPerSecond)
 	if known && (entry.Service != req.Service || (entry.ID != req.ServerID && entry.Born >= req.ServerStartMs)) {
 		reply := berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonWrongServer)
 		reply.ActualServerID = entry.ID
@@ -241,16 +267,13 @@
 	defer timer.Stop()
 	select {
 	case <-w.ready:
-		if w.expired {
-			return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonExpired)
-		}
-		return nil
+		return w.refusal()
 	case <-ctx.Done():
 	case <-timer.C:
 	}
 	if !r.removeWaiter(w) {
 		<-w.ready
-		if !w.expired {
+		if w.refusal() == nil {
 			r.releaseSlot(req, 0, false)
 		}
 	}
@@ -338,6 +361,7 @@
 		OnHeader: func(h http.Header) { r.recordHeader(f, h) },
 		OnBroken: func() { r.recordBroken(f) }, OnAnswered: func() { r.onAnswered(req) },
 	}, onDone)
+	r.recordReached(ctx, reply)
 	if !req.Nested {
 		r.recordEnd(ctx, req, reply)
 	}
--- a/io/berylsidecar/meter.go
+++ b/io/berylsidecar/meter.go
@@ -84,6 +84,22 @@
 	}))
 }
 
+// watchCold adds gauges of how long the backend server beside stays cold and what it tolerates
+// until then.
+func (m *meter) watchCold(cold func() (coldFor time.Duration, perSecond float64)) {
+	m.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "server_cold_seconds", Help: "Seconds for which the backend server beside the instance stays cold, 0 while it is warm.",
+	}, func() float64 {
+		coldFor, _ := cold()
+		return coldFor.Seconds()
+	}), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "server_cold_limit", Help: "Requests per second that the backend server beside the instance tolerates while it is cold, 0 for no limit.",
+	}, func() float64 {
+		_, perSecond := cold()
+		return perSecond
+	}))
+}
+
 // watchSuspects adds a gauge of the requests that may run in trials only.
 func (m *meter) watchSuspects(count func() int) {
 	m.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -82,6 +82,7 @@
 	peers := s.gossip.Peers()
 	s.enter.UpdatePeers(peers)
 	s.tickQuotas(peers)
+	s.beside.UpdateCold()
 }
 
 // say sends a word: to every known instance in a small fleet or when all is set,
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -103,8 +103,10 @@
 		CheckSuspect: s.crashes.Check,
 	})
 	s.beside = berylrunner.New(set.Backend, names, s.own, berylrunner.OnRequestEnd(s.seen), berylrunner.OnServerStatus(s.serverStatus),
-		berylrunner.OnServerEnd(s.serverEnded), berylrunner.OnAnswered(s.crashes.Answered), berylrunner.CheckSuspect(s.crashes.Check), berylrunner.Guard(s.guard.Run))
+		berylrunner.OnServerEnd(s.serverEnded), berylrunner.OnAnswered(s.crashes.Answered), berylrunner.CheckSuspect(s.crashes.Check), berylrunner.Guard(s.guard.Run),
+		berylrunner.ColdStart(s.coldStart), berylrunner.OnColdChange(s.coldChanged))
 	s.meter.watchServer(s.beside.ServerStatus)
+	s.meter.watchCold(s.beside.Cold)
 	s.meter.watchSuspects(s.crashes.Suspects)
 	return s
 }
--- a/io/berylstorecache/peers.go
+++ b/io/berylstorecache/peers.go
@@ -31,6 +31,7 @@
 			snapshot.Servers = append(snapshot.Servers, server)
 		}
 	}
+	setWarm(snapshot.Servers)
 	if removals := c.pendingRemovalsCopy.Load(); removals != nil {
 		snapshot.PendingRemovalMs = make(map[string]int64, len(*removals))
 		for id, deadline := range *removals {
@@ -40,6 +41,22 @@
 	return snapshot
 }
 
+// setWarm sets the warm-up times of entries to what remains of them.
+func setWarm(servers []berylregistration.Registration) {
+	now := time.Now()
+	for i := range servers {
+		servers[i].Warm = servers[i].ColdFor(now)
+	}
+}
+
+// setColdUntil sets the ends of the warm-up times of entries that were received now.
+func setColdUntil(servers []berylregistration.Registration) {
+	now := time.Now()
+	for i := range servers {
+		servers[i] = servers[i].ReadAt(now)
+	}
+}
+
 // changesSince returns how the server list of s differs from the known one, false if the
 // changes since then are not recorded.
 func (c *StoreCache) changesSince(known KnownVersions, s *State) (updated []berylregistration.Registration, removedIDs []string, ok bool) {
@@ -123,6 +140,7 @@
 		c.log.Warn().Err(err).Str("peer", addr).Msg("peer's knowledge not read")
 		return
 	}
+	setColdUntil(snapshot.Servers)
 	old := c.State()
 	s := *old
 	changed := false
--- a/io/berylstorecache/storecache.go
+++ b/io/berylstorecache/storecache.go
@@ -311,6 +311,7 @@
 		changed = c.removeServer(now, servers, id) || changed
 	}
 	for _, server := range updated {
+		server = server.ReadAt(time.Now())
 		if !result.Full {
 			// A server that writes its entry is alive, but one that was leaving stays so.
 			server, _ = c.departures.Check(now, result.Era, server)
@@ -327,7 +328,7 @@
 		servers[server.ID] = server
 		if !known || !previous.Equivalent(server) {
 			changed = true
-			c.log.Info().Str("instance", server.ID).Str("service", server.Service).Bool("leaving", server.Leaving).Int64("revision", result.Revision).Msg("list changed")
+			c.log.Info().Str("instance", server.ID).Str("service", server.Service).Bool("leaving", server.Leaving).Dur("cold", server.Warm).Int64("revision", result.Revision).Msg("list changed")
 		}
 	}
 	return servers, changed
