--- a/core/berylcoldshare/shares.go
+++ b/core/berylcoldshare/shares.go
@@ -29,10 +29,10 @@
 const (
 	overshoot    = 1.5                    // of all shares together, as not all senders use theirs
 	ownZoneShare = 0.75                   // of the rate, for senders in the data centre of the server, where most requests to it come from
-	doublingTime = 200 * time.Millisecond // of the share once the server is warm, two heartbeats for four times as much
-	rampTime     = 1500 * time.Millisecond
+	doublingTime = 300 * time.Millisecond // of the share once the server is warm; senders hear of its load within that time
+	rampTime     = 2 * time.Second        // after which shares do not limit any more
 	refusedFor   = 500 * time.Millisecond // mean time added to the wait that a refusal named, so that senders return apart
-	maxInterval  = 2 * time.Second        // between two offers of a sender, so that a server's room is found by small fleets of senders too
+	maxInterval  = time.Minute            // between two offers of a sender
 	evictAfter   = 30 * time.Second
 )
 
--- a/io/berylstorecache/peers_test.go
+++ b/io/berylstorecache/peers_test.go
@@ -83,6 +83,32 @@
 	require.Equal(t, p.reader.State().Servers, cache.State().Servers)
 }
 
+// Only the warm-up time of an entry changes, and again a second later by the passing of time.
+func TestServerThatBecomesColdAgainIsToldToPeersOnce(t *testing.T) {
+	p, cache, _ := newPair(t)
+	handle := func(revision int64, warm time.Duration) {
+		cold := server("7")
+		cold.Warm = warm
+		require.NoError(t, p.reader.loop.Post(t.Context(), func() {
+			p.reader.handleRead(&ReadResult{Revision: revision, Updated: []berylregistration.Registration{cold}}, nil)
+		}))
+		eventually(t, func() bool { return p.reader.State().Revision >= revision })
+	}
+	handle(60, 3*time.Second)
+	change := p.reader.State().ChangeRevision
+	require.EqualValues(t, 60, change)
+	eventually(t, func() bool {
+		cache.HandlePeerState(t.Context(), "peer", PeerState{ConfigVersion: 9, ChangeRevision: change, Revision: 60})
+		return cache.State().Servers["7"].ColdFor(time.Now()) > 2*time.Second
+	})
+	require.Len(t, p.last().Servers, 1)
+	require.Less(t, cache.State().Servers["7"].ColdFor(time.Now()), 3*time.Second)
+	for _, warm := range []time.Duration{2500 * time.Millisecond, 1500 * time.Millisecond, 0} {
+		handle(p.reader.State().Revision+1, warm)
+	}
+	require.Equal(t, change, p.reader.State().ChangeRevision)
+}
+
 func TestFullListIsFetchedWhenChangesDoNotFit(t *testing.T) {
 	p, cache, setLeaving := newPair(t)
 	p.mu.Lock()
