--- a/io/berylstorecache/storecache.go
+++ b/io/berylstorecache/storecache.go
@@ -311,7 +311,7 @@
 		changed = c.removeServer(now, servers, id) || changed
 	}
 	for _, server := range updated {
-		server = server.ReadAt(time.Now())
+		server = withColdUntil(old, server, result.Full)
 		if !result.Full {
 			// A server that writes its entry is alive, but one that was leaving stays so.
 			server, _ = c.departures.Check(now, result.Era, server)
@@ -334,6 +334,17 @@
 	return servers, changed
 }
 
+// withColdUntil returns an entry that was read now with the end of its warm-up time. An entry
+// that a read of the whole list finds unchanged was written some time ago.
+func withColdUntil(old *State, server berylregistration.Registration, full bool) berylregistration.Registration {
+	previous, known := old.Servers[server.ID]
+	if full && known && previous.Lifetime() == server.Lifetime() && previous.Warm == server.Warm {
+		server.ColdUntil = previous.ColdUntil
+		return server
+	}
+	return server.ReadAt(time.Now())
+}
+
 // withoutDeparted returns the entries of a whole list of the era without those of servers that
 // are known to have left before the store was restored. If there are any, the store is read
 // again when one that is still listed is alive.
