Tell streamed uploads of a path apart in the quarantine

The part of the body that the first instance has read counts too, and the hash goes along with the request. Builds without it compute what they did.

--- a/io/berylmesh/message.go
+++ b/io/berylmesh/message.go
@@ -25,7 +25,7 @@
 	fieldServer     = ":t" // id and start of the backend server, the limit that it named ("-" for none) and that of a cold one, if any
 	fieldWorkspace  = ":w"
 	fieldCaller     = ":c"
-	fieldDeadlines  = ":d" // milliseconds left until the deadline and until the target time
+	fieldDeadlines  = ":d" // milliseconds left until the deadline and until the target time, and the fingerprint of a request with a streamed body
 	fieldBodyLength = ":n" // length of a chunked body, if known; of the body that a reply to HEAD leaves out, -1 if unknown
 	fieldStatus     = ":s"
 	fieldFailure    = ":e" // outcome, reason, retry-after in milliseconds, and id of the actual backend server
@@ -55,7 +55,12 @@
 	c.writeField(fieldServer, formatServer(req), true)
 	c.writeField(fieldWorkspace, req.Workspace, true)
 	c.writeField(fieldCaller, req.Caller, true)
-	c.writeField(fieldDeadlines, strconv.FormatInt(req.Deadline.Sub(now).Milliseconds(), 10)+" "+strconv.FormatInt(req.TargetTime.Sub(now).Milliseconds(), 10), false)
+	deadlines := strconv.FormatInt(req.Deadline.Sub(now).Milliseconds(), 10) + " " + strconv.FormatInt(req.TargetTime.Sub(now).Milliseconds(), 10)
+	if req.StreamFingerprint != 0 {
+		// Here because older builds ignore further words, but pass on fields that they don't know.
+		deadlines += " " + strconv.FormatUint(req.StreamFingerprint, 16)
+	}
+	c.writeField(fieldDeadlines, deadlines, false)
 	for name, values := range req.Header {
 		if name == m.names.RequestID || name == m.names.TimeLeft {
 			continue // Sent above as fieldID and fieldDeadlines.
@@ -152,8 +157,11 @@
 		case fieldCaller:
 			req.Caller = f.Value
 		case fieldDeadlines:
-			now, v := time.Now(), splitWords(f.Value, 2)
+			now, v := time.Now(), splitWords(f.Value, 3)
 			req.Deadline, req.TargetTime = now.Add(parseMillis(v[0])), now.Add(parseMillis(v[1]))
+			if n, err := strconv.ParseUint(v[2], 16, 64); err == nil { // Not if the field has no third word.
+				req.StreamFingerprint = n
+			}
 		case fieldBodyLength:
 			req.Length = parseInt(f.Value)
 		default:
--- a/io/berylproxy/check.go
+++ b/io/berylproxy/check.go
@@ -160,6 +160,9 @@
 		target = timeout
 	}
 	outgoing.TargetTime = q.ReceivedAt.Add(target - q.elapsed)
+	if outgoing.Stream != nil {
+		outgoing.StreamFingerprint = outgoing.Fingerprint()
+	}
 	q.outgoing = outgoing
 }
 
--- a/io/berylrequest/request.go
+++ b/io/berylrequest/request.go
@@ -39,21 +39,25 @@
 	Importance    int       // steps above the least important requests
 	Deadline      time.Time // from then on an answer is useless
 	TargetTime    time.Time // until then an answer is of full use
+
+	StreamFingerprint uint64 // of a request with a streamed body, from the instance where it began; 0 from older builds
 }
 
 // Fingerprint returns a hash of what stays the same when a caller makes the request again, at
 // any instance: method, host, URI, workspace and body. Of a body that is streamed only the
-// length counts.
+// length and the part in Body count. That part is known only where the request began, so
+// StreamFingerprint goes before.
 func (r *Request) Fingerprint() uint64 {
+	if r.StreamFingerprint != 0 {
+		return r.StreamFingerprint
+	}
 	var d xxhash.Digest
 	d.Reset()
 	for _, s := range []string{r.Method, r.Host, r.URI, r.Workspace, strconv.FormatInt(r.Length, 10)} {
 		_, _ = d.WriteString(s)
 		_, _ = d.WriteString("\x00")
 	}
-	if r.Stream == nil {
-		_, _ = d.Write(r.Body)
-	}
+	_, _ = d.Write(r.Body)
 	return d.Sum64()
 }
 
