--- a/io/berylratelimiter/tokencache.go
+++ b/io/berylratelimiter/tokencache.go
@@ -12,6 +12,8 @@
 type tokenCache struct {
 	account      *berylaccount.Account
 	fallback     *berylquota.Quota // used while no lender replies; also measures the demand
+	ownSpent     int               // tokens of the own share that were spent since ownSpentFrom and that no reply has made up for
+	ownSpentFrom time.Time
 	tokens       int
 	expiresAt    time.Time // of all tokens
 	requestedAt  time.Time
@@ -89,7 +91,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if lenderSilent && (c.tokens == 0 || !now.Before(c.expiresAt)) && !now.Before(c.deniedUntil) {
-		ok, wait := c.fallback.Take(now)
+		ok, wait := c.takeOwn(now)
 		return takeStep{ended: true, ok: ok, wait: wait}
 	}
 	return l.take(now, c, deadline, 0)
@@ -158,6 +160,7 @@
 // handleReply handles the lender's reply.
 func (l *RateLimiter) handleReply(now time.Time, c *tokenCache, n int, wait time.Duration) {
 	c.pending = false
+	n = c.withoutOwnSpent(now, n)
 	// The own share of the rate only counts while no lender replies.
 	c.fallback.Drain(now)
 	if n > 0 {
@@ -171,6 +174,30 @@
 	c.replied = make(chan struct{})
 }
 
+// takeOwn takes a token of the own share of the rate.
+func (c *tokenCache) takeOwn(now time.Time) (bool, time.Duration) {
+	ok, wait := c.fallback.Take(now)
+	if ok {
+		if now.Sub(c.ownSpentFrom) > lateReplyTime {
+			c.ownSpent, c.ownSpentFrom = 0, now
+		}
+		c.ownSpent++
+	}
+	return ok, wait
+}
+
+// withoutOwnSpent returns how many of n tokens that the lender has lent may be used. A slow
+// lender lends the whole rate, only later than the own share is used instead, so what was spent
+// of the own share is taken off.
+func (c *tokenCache) withoutOwnSpent(now time.Time, n int) int {
+	if now.Sub(c.ownSpentFrom) > lateReplyTime {
+		return n
+	}
+	spent := min(n, c.ownSpent)
+	c.ownSpent -= spent
+	return n - spent
+}
+
 // Return gives back the token of a request that did not run.
 func (l *RateLimiter) Return(workspace string) {
 	now := time.Now()
