--- a/core/berylwarmup/warmup.go
+++ b/core/berylwarmup/warmup.go
@@ -3,8 +3,9 @@
 // The published list says how long a server stays cold, but later than the server starts. An
 // instance that sent a started server what the one before it had borne would crash it again.
 // So the server counts as cold whenever it can't be known to be warm: while the instance itself
-// has just started and does not know what was sent before, while a lifetime is not listed, and
-// after nothing accepted connections.
+// has just started and does not know what was sent before, while a lifetime is not listed, after
+// nothing accepted connections, and when requests come back after a time without any, in which
+// the server may have become cold and the list may not tell yet.
 package berylwarmup
 
 import (
@@ -20,11 +21,15 @@
 	until     time.Time // when the server of that lifetime becomes warm
 	down      bool      // nothing accepted the latest connection
 	backUntil time.Time // when a server that came back without being listed anew becomes warm
+	requested time.Time // when the latest request came
 }
 
 // settleTime is the longest time for which requests are counted together.
 const settleTime = time.Second
 
+// listTime is how long the list may lag behind: a server writes its entry every 1.5 s.
+const listTime = 2 * time.Second
+
 // New returns a warm-up for a daemon that started at the given time.
 func New(startedAt time.Time) *Warmup { return &Warmup{knownFrom: startedAt.Add(settleTime)} }
 
@@ -42,6 +47,14 @@
 	}
 }
 
+// Requested records that a request for the server came. coldStart is as in Update.
+func (w *Warmup) Requested(now time.Time, coldStart time.Duration) {
+	if coldStart > 0 && !w.requested.IsZero() && now.Sub(w.requested) > max(coldStart, listTime) {
+		w.backUntil = now.Add(min(coldStart, listTime))
+	}
+	w.requested = now
+}
+
 // Unreachable records that nothing accepted a connection.
 func (w *Warmup) Unreachable() { w.down = true }
 
--- a/core/berylwarmup/warmup_test.go
+++ b/core/berylwarmup/warmup_test.go
@@ -51,6 +51,17 @@
 			w.Answered(at(9), coldStart)
 			w.Answered(at(10), coldStart)
 		}, 10, 2 * time.Second},
+		{"requests come back after some time", func(w *berylwarmup.Warmup) {
+			w.Update(at(5), one, warm, coldStart)
+			w.Requested(at(5), coldStart)
+			w.Requested(at(9), coldStart)
+			w.Requested(at(9.5), coldStart)
+		}, 10, time.Second},
+		{"requests that come all the time", func(w *berylwarmup.Warmup) {
+			w.Update(at(5), one, warm, coldStart)
+			w.Requested(at(5), coldStart)
+			w.Requested(at(8), coldStart)
+		}, 8, 0},
 		{"and the list tells of the lifetime", func(w *berylwarmup.Warmup) {
 			w.Update(at(5), one, warm, coldStart)
 			w.Unreachable()
--- a/io/berylrunner/cold.go
+++ b/io/berylrunner/cold.go
@@ -73,11 +73,9 @@
 	}
 }
 
-// checkCold refuses a request that a cold server does not take soon.
-func (r *Runner) checkCold() *berylreply.Reply {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	wait := r.admission.ColdWait(time.Now())
+// checkCold refuses a request that a cold server does not take soon. The caller holds the lock.
+func (r *Runner) checkCold(now time.Time) *berylreply.Reply {
+	wait := r.admission.ColdWait(now)
 	if wait <= maxColdWait {
 		return nil
 	}
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -190,9 +190,6 @@
 	if reply == nil {
 		reply = r.checkThrottle(req)
 	}
-	if reply == nil {
-		reply = r.checkCold()
-	}
 	if reply == nil {
 		admissionRequest := beryladmission.Request{Rank: req.Rank, Nested: req.Nested, Kind: req.Rule, TimeToDeadline: req.Deadline.Sub(start), TimeToTarget: req.TargetTime.Sub(start)}
 		reply = r.acquireSlot(ctx, admissionRequest)
@@ -221,6 +218,7 @@
 		r.listed = entry.Lifetime()
 	}
 	r.trackLifetime(r.newestLifetime(entry, known, req))
+	r.warmup.Requested(time.Now(), r.coldStarts.Duration)
 	r.updateCold(entry, known, req.ColdPerSecond)
 	if known && (entry.Service != req.Service || (entry.ID != req.ServerID && entry.Born >= req.ServerStartMs)) {
 		reply := berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonWrongServer)
@@ -254,13 +252,7 @@
 // is refused.
 func (r *Runner) acquireSlot(ctx context.Context, req beryladmission.Request) *berylreply.Reply {
 	w := &waiter{ready: make(chan struct{})}
-	decision, retryAfter := r.arrive(req, w)
-	switch decision {
-	case beryladmission.Start:
-		return nil
-	case beryladmission.Refuse:
-		reply := berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonQueueFull)
-		reply.RetryAfter = retryAfter
+	if waits, reply := r.arrive(req, w); !waits {
 		return reply
 	}
 	timer := time.NewTimer(req.TimeToDeadline - expiryMargin)
@@ -280,14 +272,24 @@
 	return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonExpired)
 }
 
-func (r *Runner) arrive(req beryladmission.Request, w *waiter) (beryladmission.Decision, time.Duration) {
+// arrive lets the request start, queues it with w or returns the reply that refuses it.
+func (r *Runner) arrive(req beryladmission.Request, w *waiter) (waits bool, refusal *berylreply.Reply) {
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	decision, wait := r.admission.Arrive(time.Now(), req, w)
-	if decision == beryladmission.Wait {
+	if refusal = r.checkCold(now); refusal != nil {
+		return false, refusal
+	}
+	decision, wait := r.admission.Arrive(now, req, w)
+	switch decision {
+	case beryladmission.Wait:
 		r.startWaiting()
+		return true, nil
+	case beryladmission.Refuse:
+		refusal = berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonQueueFull)
+		refusal.RetryAfter = wait
 	}
-	return decision, wait
+	return false, refusal
 }
 
 // removeWaiter takes a request out of the queue and reports whether it was there.
