--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -12,12 +12,14 @@
 	"berylspan/core/beryladmission"
 	"berylspan/core/berylattempt"
 	"berylspan/core/berylcallgraph"
+	"berylspan/core/berylcoldstart"
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylinflight"
 	"berylspan/core/beryllifetime"
 	"berylspan/core/berylregistration"
 	"berylspan/core/berylserverload"
 	"berylspan/core/berylserverstatus"
+	"berylspan/core/berylwarmup"
 	"berylspan/io/berylconnpool"
 	"berylspan/io/berylpanic"
 	"berylspan/io/berylreply"
@@ -37,6 +39,8 @@
 	checkSuspect   func(req *berylrequest.Request) (suspect bool, wait time.Duration)
 	isEvacuated    func() bool // the data centre of the backend server
 	isListed       func(serverID string) bool
+	coldStart      func() (start berylcoldstart.ColdStart, known bool)
+	onColdChange   func(serverID string, coldFor time.Duration, perSecond float64)
 
 	mu             sync.Mutex
 	pool           *berylconnpool.Pool
@@ -57,8 +61,11 @@
 	status         berylserverstatus.Status // what the server last said about itself
 	malformedLimit string                   // last limit that could not be read
 	flights        map[*flight]struct{}
-	trial          *flight   // the one suspect that may run, nil without one
-	broken         []*flight // whose connection broke a short time ago
+	warmup         *berylwarmup.Warmup
+	coldStarts     berylcoldstart.ColdStart // of the server
+	coldFor        time.Duration            // how long the server stayed cold when that was last checked
+	trial          *flight                  // the one suspect that may run, nil without one
+	broken         []*flight                // whose connection broke a short time ago
 	possibleEnds   []possibleEnd
 	listed         beryllifetime.Lifetime // of the server in the list when it was last there
 	endChecks      int                    // checks of whether the server has ended that were asked for and are not finished
@@ -70,6 +77,14 @@
 	refusal string        // reason why it is refused, "" if it is not
 }
 
+// refusalReply returns the reply to a request that was not started, or nil.
+func (w *waiter) refusalReply() *berylreply.Reply {
+	if w.refusal == "" {
+		return nil
+	}
+	return berylreply.NewFailure(berylattempt.Unsent, w.refusal)
+}
+
 const (
 	initialLimit  = 16                    // concurrency limit while the slots of the server are unknown
 	usableShare   = 0.95                  // fraction of the slots that is used, as some servers slow down above it
@@ -104,6 +119,9 @@
 		isListed:       func(string) bool { return true },
 		flights:        map[*flight]struct{}{},
 		admission:      beryladmission.New[*waiter](initialLimit),
+		coldStart:      func() (berylcoldstart.ColdStart, bool) { return berylcoldstart.ColdStart{}, true },
+		onColdChange:   func(string, time.Duration, float64) {},
+		warmup:         berylwarmup.New(time.Now()),
 		callGraph:      berylcallgraph.New(),
 		limiter:        berylinflight.New(),
 		running:        map[string]int{},
@@ -202,6 +220,8 @@
 		r.listed = entry.Lifetime()
 	}
 	r.trackLifetime(r.newestLifetime(entry, known, req))
+	r.warmup.Requested(time.Now(), r.coldStarts.Duration)
+	r.updateCold(entry, known, req.ColdPerSecond)
 	if known && (entry.Service != req.Service || (entry.ID != req.ServerID && entry.Born >= req.ServerStartMs)) {
 		reply := berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonWrongServer)
 		reply.ActualServerID = entry.ID
@@ -240,23 +260,14 @@
 // is refused.
 func (r *Runner) acquireSlot(ctx context.Context, req beryladmission.Request) *berylreply.Reply {
 	w := &waiter{ready: make(chan struct{})}
-	decision, retryAfter := r.arrive(req, w)
-	switch decision {
-	case beryladmission.Start:
-		return nil
-	case beryladmission.Refuse:
-		reply := berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonQueueFull)
-		reply.RetryAfter = retryAfter
+	if waits, reply := r.arrive(req, w); !waits {
 		return reply
 	}
 	timer := time.NewTimer(req.TimeToDeadline - expiryMargin)
 	defer timer.Stop()
 	select {
 	case <-w.ready:
-		if w.refusal != "" {
-			return berylreply.NewFailure(berylattempt.Unsent, w.refusal)
-		}
-		return nil
+		return w.refusalReply()
 	case <-ctx.Done():
 	case <-timer.C:
 	}
@@ -269,14 +280,24 @@
 	return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonExpired)
 }
 
-func (r *Runner) arrive(req beryladmission.Request, w *waiter) (beryladmission.Decision, time.Duration) {
+// arrive lets the request start, queues it with w or returns the reply that refuses it.
+func (r *Runner) arrive(req beryladmission.Request, w *waiter) (waits bool, refusal *berylreply.Reply) {
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	decision, wait := r.admission.Arrive(time.Now(), req, w)
-	if decision == beryladmission.Wait {
+	if refusal = r.checkCold(now); refusal != nil {
+		return false, refusal
+	}
+	decision, wait := r.admission.Arrive(now, req, w)
+	switch decision {
+	case beryladmission.Wait:
 		r.startWaiting()
+		return true, nil
+	case beryladmission.Refuse:
+		refusal = berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonQueueFull)
+		refusal.RetryAfter = wait
 	}
-	return decision, wait
+	return false, refusal
 }
 
 // removeWaiter takes a request out of the queue and reports whether it was there.
@@ -352,6 +373,7 @@
 		OnHeader: func(h http.Header) { r.recordHeader(f, h) },
 		OnBroken: func() { r.recordBroken(f) }, OnAnswered: func() { r.onAnswered(req) },
 	}, onDone)
+	r.recordReached(ctx, reply)
 	if !req.Nested {
 		r.recordEnd(ctx, req, reply)
 	}
