--- a/io/berylproxy/servers.go
+++ b/io/berylproxy/servers.go
@@ -11,11 +11,9 @@
 	"berylspan/io/berylreply"
 )
 
-// Reasons for refusing a request before it is sent to any instance.
-const (
-	reasonEvacuated = berylreply.ReasonEvacuated // all servers of its service are in evacuated data centres
-	reasonNoHome    = "no home"                  // none of the servers of its service is in a region that the rule and the workspace allow
-)
+// reasonNoHome is the reason for refusing a request if none of the servers of its service is in a
+// region that its rule and its workspace allow.
+const reasonNoHome = "no home"
 
 // homes returns the regions in which a request of the rule and the account, nil without one, may
 // run.
@@ -83,7 +81,7 @@
 		case !state.Evacuated.Contains(r.Zone):
 			return reasonNoInstance // It has been tried or is leaving.
 		default:
-			reason = reasonEvacuated
+			reason = berylreply.ReasonEvacuated
 		}
 	}
 	return reason
--- a/io/berylrunner/start.go
+++ b/io/berylrunner/start.go
@@ -11,6 +11,10 @@
 	"berylspan/io/berylrequest"
 )
 
+// recheckAfter is the time in a queue after which a request is checked again at its start. What
+// is published reaches the instances in hundreds of milliseconds.
+const recheckAfter = time.Millisecond
+
 // IsListed sets the function that reports whether a server is in the published list.
 func IsListed(f func(serverID string) bool) func(*Runner) {
 	return func(r *Runner) { r.isListed = f }
@@ -53,10 +57,6 @@
 	return reply
 }
 
-// recheckAfter is the time in a queue after which a request is checked again at its start. What
-// is published reaches the instances in hundreds of milliseconds.
-const recheckAfter = time.Millisecond
-
 // ListChanged returns all waiting requests to their senders if the server has begun to leave, is
 // evacuated or no longer listed, so that they don't wait for a slot first.
 func (r *Runner) ListChanged() {
