--- a/core/beryltracker/tracker.go
+++ b/core/beryltracker/tracker.go
@@ -8,7 +8,6 @@
 package beryltracker
 
 import (
-	"math"
 	"time"
 
 	"berylspan/core/berylplacement"
@@ -27,7 +26,7 @@
 	inflightAtReport int
 	reportedLimit    int
 	reportedAt       time.Time
-	slowdown         float64              // of the server at that time
+	slowdown         slowdown
 	serviceTimes     map[string]float64   // moving averages in seconds, by rule, without the slowdown
 	throttledUntil   map[string]time.Time // by rule, until when no new requests of it are sent
 	suspectUntil     time.Time
@@ -44,7 +43,6 @@
 	reportTTL       = 2 * time.Second       // how long a reported load is used
 	smoothing       = 0.3                   // weight of the newest service time in the moving average
 	idleAfter       = 10 * time.Second      // without a request sent, after which the measurements of an instance are stale
-	slowdownTime    = 0.25                  // seconds in which a slowdown decays, as it changes several times a second
 	throttledFor    = 60 * time.Millisecond // about the time until one of the requests ends that fill the rule's concurrency limit
 	evictAfter      = 2 * time.Minute       // without use
 )
@@ -79,15 +77,12 @@
 // the known one is ignored.
 func (t *Tracker) LoadReported(now time.Time, id, rule string, busy, limit int, serviceTime, slowdown float64) {
 	in := t.get(now, id)
-	if slowdown <= 0 {
-		slowdown = 1
-	}
 	if !now.Before(in.reportedAt) {
 		in.reportedBusy, in.reportedLimit, in.reportedAt, in.inflightAtReport = busy, limit, now, in.inflight
-		in.slowdown = slowdown
+		in.slowdown.report(now, slowdown)
 	}
 	if serviceTime > 0 {
-		serviceTime /= slowdown
+		serviceTime /= in.slowdown.at(now)
 		if old := in.serviceTimes[rule]; old > 0 {
 			serviceTime = old + smoothing*(serviceTime-old)
 		}
@@ -141,12 +136,11 @@
 		return berylplacement.Candidate{Limit: float64(slots), Age: berylplacement.UnknownAge, Idle: true}
 	}
 	c := berylplacement.Candidate{
-		Limit: float64(slots), Busy: float64(in.inflight), Own: float64(in.inflight), Age: berylplacement.UnknownAge, ServiceTime: in.serviceTimes[rule],
+		Limit: float64(slots), Busy: float64(in.inflight), Own: float64(in.inflight), Age: berylplacement.UnknownAge, ServiceTime: in.serviceTimes[rule] * in.slowdown.at(now),
 		Suspect: now.Before(in.suspectUntil), Throttled: now.Before(in.throttledUntil[rule]), Idle: in.inflight == 0 && now.Sub(in.lastSent) > idleAfter,
 	}
 	if age := now.Sub(in.reportedAt); age < reportTTL {
 		c.Age = max(age, 0).Seconds()
-		c.ServiceTime *= 1 + (in.slowdown-1)*math.Exp(-c.Age/slowdownTime)
 		c.Busy = max(float64(in.inflight), float64(in.reportedBusy+in.inflight-in.inflightAtReport))
 		if in.reportedLimit > 0 {
 			c.Limit = float64(in.reportedLimit)
--- a/io/berylgossip/heartbeat.go
+++ b/io/berylgossip/heartbeat.go
@@ -18,5 +18,5 @@
 	Demand         map[string]uint32 `cbor:"11,keyasint,omitempty"`
 	ZoneDemand     map[string]uint32 `cbor:"12,keyasint,omitempty"`
 	Era            int64             `cbor:"13,keyasint,omitempty"` // of the store that ChangeRevision and Revision belong to
-	Slowdown       int               `cbor:"14,keyasint,omitempty"` // per cent of the usual time that work takes on the backend server, 0 when unknown or as usual; to the own data centre only
+	Slowdown       int               `cbor:"14,keyasint,omitempty"` // per cent of the usual time that work takes on the backend server, 0 when unknown; to the own data centre only
 }
--- a/io/berylmesh/message.go
+++ b/io/berylmesh/message.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,7 +29,7 @@
 	fieldBodyLength = ":n" // length of a chunked body, if known; of the body that a reply to HEAD leaves out, -1 if unknown
 	fieldStatus     = ":s"
 	fieldFailure    = ":e" // outcome, reason, retry-after in milliseconds, and id of the actual backend server
-	fieldLoad       = ":l" // busy, limit, mean service time and queue time in milliseconds, and the slowdown in per cent if the server says that work does not take as long as usual
+	fieldLoad       = ":l" // busy, limit, mean service time and queue time in milliseconds
 )
 
 // writeRequest sends a request. Of a streamed body it sends only the first part, which
@@ -158,12 +157,8 @@
 func (m *Mesh) writeReply(c *conn, req *berylrequest.Request, reply *berylreply.Reply) error {
 	c.startMessage()
 	if reply.HasLoad {
-		load := strconv.Itoa(reply.Busy) + " " + strconv.Itoa(reply.Limit) + " " +
-			strconv.FormatInt(reply.MeanServiceTime.Milliseconds(), 10) + " " + strconv.FormatInt(reply.QueueTime.Milliseconds(), 10)
-		if percent := int(math.Round(reply.Slowdown * 100)); percent != 0 && percent != 100 {
-			load += " " + strconv.Itoa(percent)
-		}
-		c.writeField(fieldLoad, load, false)
+		c.writeField(fieldLoad, strconv.Itoa(reply.Busy)+" "+strconv.Itoa(reply.Limit)+" "+
+			strconv.FormatInt(reply.MeanServiceTime.Milliseconds(), 10)+" "+strconv.FormatInt(reply.QueueTime.Milliseconds(), 10), false)
 	}
 	if reply.Outcome != berylattempt.Answered {
 		c.writeField(fieldFailure, reply.Outcome.String()+" "+reply.Reason+" "+strconv.FormatInt(reply.RetryAfter.Milliseconds(), 10)+" "+reply.ActualServerID, false)
@@ -212,10 +207,9 @@
 			v := splitWords(f.Value, 4)
 			reply.Outcome, reply.Reason, reply.RetryAfter, reply.ActualServerID = berylattempt.Parse(v[0]), v[1], parseMillis(v[2]), v[3]
 		case fieldLoad:
-			v := splitWords(f.Value, 5)
+			v := splitWords(f.Value, 4)
 			reply.Busy, reply.Limit, reply.MeanServiceTime = int(parseInt(v[0])), int(parseInt(v[1])), parseMillis(v[2])
 			reply.QueueTime, reply.HasLoad = parseMillis(v[3]), true
-			reply.Slowdown = float64(max(0, parseInt(v[4]))) / 100 // 0 if there is no fifth word
 		case fieldBodyLength:
 			reply.Length, lengthTold = parseInt(f.Value), true
 		default:
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -12,6 +12,7 @@
 	"berylspan/core/berylplacement"
 	"berylspan/core/berylregistration"
 	"berylspan/core/berylretries"
+	"berylspan/core/berylserverload"
 	"berylspan/core/berylserverstatus"
 	"berylspan/io/berylhttpserver"
 	"berylspan/io/berylreply"
@@ -246,7 +247,7 @@
 	defer p.mu.Unlock()
 	p.tracker.Ended(now, id)
 	if reply.HasLoad {
-		p.tracker.LoadReported(now, id, q.rule.Name, reply.Busy, reply.Limit, reply.MeanServiceTime.Seconds(), reply.Slowdown)
+		p.tracker.LoadReported(now, id, q.rule.Name, reply.Busy, reply.Limit, reply.MeanServiceTime.Seconds(), p.slowdown(reply))
 	}
 	switch {
 	case reply.Outcome == berylattempt.Answered:
@@ -265,6 +266,12 @@
 	}
 }
 
+// slowdown returns the slowdown that the header of an answer tells of, 0 if it tells of none.
+func (p *Proxy) slowdown(reply *berylreply.Reply) float64 {
+	load, _ := berylserverload.Parse(reply.Header.Get(p.Names.ServerLoad))
+	return load.Slowdown
+}
+
 // recordStatus records what the header of an answer says about its server. The absence of a
 // field counts only in signed answers, as in the instance beside the server. The caller holds
 // the lock.
--- a/io/berylreply/reply.go
+++ b/io/berylreply/reply.go
@@ -33,7 +33,6 @@
 	Limit           int           // concurrency limit
 	MeanServiceTime time.Duration // mean time for which requests of the same rule run
 	QueueTime       time.Duration // time that this request spent in the queue
-	Slowdown        float64       // how long work takes on the server, relative to usual; 0 when unknown
 }
 
 // Reasons for an attempt without an answer.
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -400,11 +400,6 @@
 func (r *Runner) Slowdown() float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.currentSlowdown()
-}
-
-// currentSlowdown is Slowdown for a caller that holds the lock.
-func (r *Runner) currentSlowdown() float64 {
 	if time.Since(r.loadReportedAt) > slowdownTTL {
 		return 0
 	}
@@ -418,5 +413,4 @@
 	running, waiting, limit := r.admission.State()
 	reply.HasLoad = true
 	reply.Busy, reply.Limit, reply.MeanServiceTime = running+waiting, limit, r.admission.MeanServiceTime(rule)
-	reply.Slowdown = r.currentSlowdown()
 }
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -104,7 +104,7 @@
 	}
 	w.Busy, w.Limit = s.beside.Load()
 	near, far, large := s.hosts(all, int(s.turn.Add(1)))
-	w.Slowdown = slowdownPercent(s.beside.Slowdown())
+	w.Slowdown = int(math.Round(s.beside.Slowdown() * 100))
 	err := s.gossip.SendHeartbeat(near, w)
 	w.Slowdown = 0
 	if !large && err == nil {
@@ -118,14 +118,6 @@
 	}
 }
 
-// slowdownPercent returns a slowdown as a heartbeat states it.
-func slowdownPercent(slowdown float64) int {
-	if percent := int(math.Round(slowdown * 100)); percent != 100 {
-		return percent
-	}
-	return 0
-}
-
 // sayFar sends a word to instances of other data centres of a large fleet. What
 // the own data centre is asked for matters only to those that may lend there.
 func (s *Sidecar) sayFar(hosts []string, w berylgossip.Heartbeat) error {
