--- a/core/berylplacement/choose.go
+++ b/core/berylplacement/choose.go
@@ -58,10 +58,13 @@
 	idleMaxSlowness    = 3     // times the mean service time; an instance that is not slower gets a request when idle, so that its measurements are refreshed
 	fillSteps          = 14    // bisections to find the level; its error is then below a ten-thousandth of the range
 
-	// A server that is slower than the mean gets less work than its share of the slots, since
-	// its requests wait longer for their answer. At twice the mean service time its utilisation
-	// stays 0.67 below that of the others, as long as these have room.
+	// Requests at a slow server wait longer for their answer. Machines differ in speed: a server
+	// that takes up to slowFactor times the mean service time gets less work than its share of
+	// the slots. At twice the mean its utilisation stays 0.67 below that of the others, as long as
+	// these have room. One that takes longer is disturbed, and what it takes beyond that counts
+	// like a queue.
 	slownessWeight = 0.1
+	slowFactor     = 2
 )
 
 // The time that a request takes at a utilisation, in service times, is a line through these
@@ -158,7 +161,7 @@
 			continue
 		}
 		t := serviceTime(c, mean)
-		s := server{index: i, limit: max(c.Limit, 1), remaining: c.Busy, offset: slownessWeight * (t/mean - 1)}
+		s := server{index: i, limit: max(c.Limit, 1), remaining: c.Busy, offset: slowness(t / mean)}
 		left, busy := s.age(c, t), c.Busy
 		if c.Age == UnknownAge {
 			busy = max(busy, utilisation*s.limit)
@@ -184,6 +187,12 @@
 	return rate
 }
 
+// slowness returns how many service times a request is worth waiting for a server of mean speed
+// rather than running on one that takes factor times as long.
+func slowness(factor float64) float64 {
+	return slownessWeight*(factor-1) + max(factor-slowFactor, 0)
+}
+
 // age sets the window of the server and returns how many of the requests that it had when its
 // load was reported are still there. t is its service time.
 func (s *server) age(c *Candidate, t float64) (left float64) {
@@ -247,19 +256,20 @@
 	}
 }
 
-// meanServiceTime returns the mean of the service times that are known.
+// meanServiceTime returns the harmonic mean of the service times that are known, that of a server
+// of mean speed.
 func meanServiceTime(cs []Candidate) float64 {
 	sum, n := 0.0, 0
 	for i := range cs {
 		if cs[i].ServiceTime > 0 {
-			sum += cs[i].ServiceTime
+			sum += 1 / cs[i].ServiceTime
 			n++
 		}
 	}
 	if n == 0 {
 		return defaultServiceTime
 	}
-	return sum / float64(n)
+	return float64(n) / sum
 }
 
 // distance is 0 in the own data centre, 1 in another one of the own region and 2 in another region.
--- a/core/berylplacement/herd_test.go
+++ b/core/berylplacement/herd_test.go
@@ -66,6 +66,18 @@
 	}
 }
 
+// A server is disturbed and takes six times as long. Its requests would miss their target, though
+// it has room.
+func TestDisturbedServerGetsNothingWhileOthersHaveRoom(t *testing.T) {
+	for _, busy := range []float64{10, 25, 45, 100} {
+		cs := []Candidate{{Busy: 5, Limit: 20, ServiceTime: 0.6, Age: 0.1}}
+		for range 3 {
+			cs = append(cs, Candidate{Busy: busy, Limit: 20, ServiceTime: 0.1, Age: 0.1})
+		}
+		require.Equal(t, busy == 100, shares(cs, Costs{})[0] > 0, "busy %.0f: only when they would wait as long elsewhere", busy)
+	}
+}
+
 // Demand moves to one data centre. Others take over gradually as its servers fill, the own
 // region before another one, and nothing leaves it while it has room.
 func TestOverflowToOtherDataCentresGrowsWithLoad(t *testing.T) {
