--- a/io/berylratelimiter/ratelimiter.go
+++ b/io/berylratelimiter/ratelimiter.go
@@ -61,7 +61,7 @@
 	prefetchSeconds   = 0.25 // of demand that is borrowed ahead
 	maxPrefetchTokens = 50   // also the most that an instance is lent at once
 	tokenLifetime     = time.Second
-	lateReplyTime     = time.Second            // in which a lender that is not down has replied
+	lateReplyTime     = time.Second            // in which a lender that is not down replies
 	replyTimeout      = 40 * time.Millisecond  // several times the delay between data centres
 	minDenialTime     = 20 * time.Millisecond  // without requests to the lender after a denial, at least
 	maxDenialTime     = 100 * time.Millisecond // without requests to the lender after a denial, at most
--- a/io/berylratelimiter/tokencache.go
+++ b/io/berylratelimiter/tokencache.go
@@ -12,8 +12,8 @@
 type tokenCache struct {
 	account      *berylaccount.Account
 	fallback     *berylquota.Quota // used while no lender replies; also measures the demand
-	ownSpent     int               // tokens of the own share that were spent since ownSpentFrom and that no reply has made up for
-	ownSpentFrom time.Time
+	ownSpent     int               // tokens of the own share that were spent and not taken off a reply
+	repliedAt    time.Time         // when the lender replied last
 	tokens       int
 	expiresAt    time.Time // of all tokens
 	requestedAt  time.Time
@@ -178,9 +178,6 @@
 func (c *tokenCache) takeOwn(now time.Time) (bool, time.Duration) {
 	ok, wait := c.fallback.Take(now)
 	if ok {
-		if now.Sub(c.ownSpentFrom) > lateReplyTime {
-			c.ownSpent, c.ownSpentFrom = 0, now
-		}
 		c.ownSpent++
 	}
 	return ok, wait
@@ -188,11 +185,13 @@
 
 // withoutOwnSpent returns how many of n tokens that the lender has lent may be used. A slow
 // lender lends the whole rate, only later than the own share is used instead, so what was spent
-// of the own share is taken off.
+// of the own share is taken off. What was spent while the lender was down is not: a lender keeps
+// back the shares of those that do not hear it, and a new one starts without tokens.
 func (c *tokenCache) withoutOwnSpent(now time.Time, n int) int {
-	if now.Sub(c.ownSpentFrom) > lateReplyTime {
-		return n
+	if now.Sub(c.repliedAt) > lateReplyTime {
+		c.ownSpent = 0
 	}
+	c.repliedAt = now
 	spent := min(n, c.ownSpent)
 	c.ownSpent -= spent
 	return n - spent
