Charge requests, bodies and answers of callers while they are read

Cause: a connection could have 64 requests read ahead whatever they cost, and answers that wait for unread ones were held without a bound. Idle and slow connections took descriptors until none were left.

Change: bytes and lines of a head are counted and charged as they arrive, before they are parsed, bodies as they are read, answers when they are known. A request behind a pending one waits until it may be held; another one that may not is refused with 503 and Retry-After, not run. Too many header lines get 431. Connections that hold most are closed for others, and so are idle ones (closed), slow ones (408) and new ones when there are too many. The wait of a full pipeline no longer polls 1,000 times a second. Nothing is limited until the server is told so.

--- a/io/berylhttpserver/body.go
+++ b/io/berylhttpserver/body.go
@@ -67,7 +67,7 @@
 // readBody reads up to maxBufferedBody bytes of the body into r. If the body is longer, it
 // sets r.Stream to the rest and returns that, to be read while the request runs. It
 // returns an error if the body could not be read.
-func (c *conn) readBody(httpReq *http.Request, r *Request, limits Limits) (*bodyStream, error) {
+func (c *conn) readBody(httpReq *http.Request, p *pendingRequest, r *Request, limits Limits) (*bodyStream, error) {
 	if httpReq.ContentLength == 0 {
 		return nil, nil
 	}
@@ -76,7 +76,10 @@
 	}
 	defer c.endBody()
 	bounded := &maxBytesReader{r: httpReq.Body, remaining: limits.MaxBodyBytes}
+	c.meter.part = partBody
 	first, err := io.ReadAll(io.LimitReader(bounded, maxBufferedBody))
+	c.meter.part = partNone
+	c.meter.assign(p)
 	if err != nil {
 		return nil, err
 	}
--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -12,7 +12,9 @@
 	"sync"
 	"time"
 
+	"berylspan/core/berylmemorybudget"
 	"berylspan/io/beryllimitedreader"
+	"berylspan/io/berylmemory"
 	"berylspan/io/berylsocket"
 )
 
@@ -29,9 +31,14 @@
 type conn struct {
 	server  *Server
 	nc      net.Conn
+	mem     *berylmemory.Holder
+	meter   *meter
 	limiter *beryllimitedreader.Reader
-	br      *bufio.Reader
-	bw      *bufio.Writer // valid only while an answer is written
+
+	nextIsAhead bool // the request that is read is counted as read ahead; used by the reader only
+
+	br *bufio.Reader
+	bw *bufio.Writer // valid only while an answer is written
 
 	ctx    context.Context // of all requests
 	cancel context.CancelFunc
@@ -49,18 +56,31 @@
 	nextIsLate        bool      // the next request to be read is late
 	late              bool      // the request that is being read is late: it is refused unless the server serves it while it stops
 	answerDeadline    time.Time // no request is started any more and answers must be written by then; zero if not set
+	since             time.Time // when it became idle, or a request began to arrive
 	ended             bool      // set by the last answer and by abort
 	err               error     // why the connection ended without an answer
 	wg                sync.WaitGroup
 }
 
 func newConn(ctx context.Context, server *Server, nc net.Conn) *conn {
-	c := &conn{server: server, nc: nc, limiter: &beryllimitedreader.Reader{R: nc, Remaining: beryllimitedreader.Unlimited}}
+	c := &conn{server: server, nc: nc, since: time.Now()}
+	c.mem = server.memory.Open(clientAddr(nc), c.evict)
+	c.meter = &meter{c: c}
+	c.limiter = &beryllimitedreader.Reader{R: c.meter, Remaining: beryllimitedreader.Unlimited}
 	c.br = bufio.NewReaderSize(c.limiter, readBufferSize)
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	return c
 }
 
+// clientAddr returns the address of a caller without its port.
+func clientAddr(nc net.Conn) string {
+	addr := nc.RemoteAddr().String()
+	if host, _, err := net.SplitHostPort(addr); err == nil {
+		return host
+	}
+	return addr
+}
+
 func (c *conn) busy() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -162,6 +182,7 @@
 // awaitRequest waits for the first byte of the next request. After a timeout it still returns
 // nil if the byte has arrived: this instance may not have had processor time to read it.
 func (c *conn) awaitRequest() error {
+	c.meter.part = partFirst
 	_, err := c.br.Peek(1)
 	if errors.Is(err, os.ErrDeadlineExceeded) && berylsocket.Peek(c.nc) == berylsocket.Readable {
 		return nil
@@ -189,7 +210,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.pending) == 0 && !c.arriving && !c.readingStopped && !c.isUnblockedByRestrict() && !c.ended {
-		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout))
+		c.since = time.Now()
+		_ = c.nc.SetReadDeadline(c.since.Add(c.server.Limits().IdleTimeout))
 	}
 }
 
@@ -208,7 +230,7 @@
 			c.cancelIfDisconnected(err)
 			break
 		}
-		if !c.beginReading() {
+		if !c.waitToReadAhead() || !c.beginReading() {
 			break
 		}
 		limits := c.server.Limits()
@@ -246,14 +268,27 @@
 // waitForCapacity waits until fewer than maxPipelined requests are pending. It returns
 // false if the connection has ended.
 func (c *conn) waitForCapacity() bool {
-	for c.busy() >= maxPipelined {
-		time.Sleep(time.Millisecond)
+	for delay := minWaitDelay; c.busy() >= maxPipelined; delay = min(2*delay, maxWaitDelay) {
+		time.Sleep(delay)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !c.ended
 }
 
+// waitToReadAhead waits until the next request, of which the first byte has arrived, may be
+// read although an earlier one is pending. It returns false if the connection has ended.
+func (c *conn) waitToReadAhead() bool {
+	for delay := minWaitDelay; c.isAhead(partHead); delay = min(2*delay, maxWaitDelay) {
+		if c.mem.BeginAhead(berylmemorybudget.RequestCost) {
+			c.nextIsAhead = true
+			break
+		}
+		time.Sleep(delay)
+	}
+	return !c.hasEnded()
+}
+
 // readRequest reads one request and starts it. prevWritten is closed when the answer to
 // the previous request is written, or will not be written. readRequest returns the same
 // kind of channel for its own request, and whether more requests may follow.
@@ -261,7 +296,7 @@
 	written := make(chan struct{})
 	c.setReadTimeout(limits.HeaderTimeout)
 	c.limiter.Remaining, c.limiter.Err = limits.MaxHeaderBytes, nil
-	httpReq, err := c.readHeader()
+	httpReq, err := c.readHeader(limits)
 	if err != nil {
 		status := errorStatus(err)
 		if c.mustRefuse() {
@@ -272,9 +307,17 @@
 			close(written)
 			return written, false
 		}
+		a := &Answer{Status: status, Close: true}
+		switch {
+		case errors.Is(err, errMemory):
+			c.server.onLimited(LimitedMemory)
+			a = refuseOverloaded(nil)
+		case errors.Is(err, errTooManyLines):
+			c.server.onLimited(LimitedHeaderLines)
+		}
 		p := &pendingRequest{receivedAt: time.Now(), wait: WaitEarlierAnswer}
 		c.addPending(p)
-		c.wg.Go(func() { c.reply(p, written, prevWritten, &Answer{Status: status, Close: true}, false) })
+		c.wg.Go(func() { c.reply(p, written, prevWritten, a, false) })
 		return written, false
 	}
 	r := &Request{Method: httpReq.Method, URI: httpReq.RequestURI, Path: httpReq.URL.EscapedPath(), Host: httpReq.Host, Header: httpReq.Header, Length: httpReq.ContentLength, ReceivedAt: time.Now()}
@@ -304,7 +347,7 @@
 			_, _ = c.nc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 		}
 	}
-	stream, err := c.readBody(httpReq, r, limits)
+	stream, err := c.readBody(httpReq, p, r, limits)
 	if err != nil {
 		c.wg.Go(func() {
 			a := &Answer{Abort: true} // unless bodyErrorAnswer returns
@@ -317,6 +360,7 @@
 		a := &Answer{Abort: true} // unless handle returns
 		c.server.guard(panicPart, func() { a = c.handle(p, r, prevWritten) })
 		defer c.endHandling(p, a)()
+		c.chargeAnswer(p, a)
 		c.reply(p, written, prevWritten, a, closeAfter)
 		if stream != nil {
 			stream.discardUnread()
@@ -332,10 +376,16 @@
 
 // readHeader reads the header of a request. If it did not arrive, the error is that of the
 // connection or ErrLimit.
-func (c *conn) readHeader() (*http.Request, error) {
+func (c *conn) readHeader(limits Limits) (*http.Request, error) {
+	defer c.meter.endHead()
+	if err := c.meter.beginHead(limits.MaxHeaderLines); err != nil {
+		return nil, err
+	}
 	httpReq, err := http.ReadRequest(c.br)
 	switch {
 	case err == nil:
+	case errors.Is(c.limiter.Err, errMemory), errors.Is(c.limiter.Err, errTooManyLines):
+		err = c.limiter.Err
 	case c.limiter.Exceeded():
 		err = beryllimitedreader.ErrLimit
 	case c.limiter.Err != nil:
@@ -365,8 +415,10 @@
 // if the connection is to be closed without an answer.
 func errorStatus(err error) int {
 	switch {
-	case errors.Is(err, beryllimitedreader.ErrLimit):
+	case errors.Is(err, beryllimitedreader.ErrLimit), errors.Is(err, errTooManyLines):
 		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, errMemory):
+		return http.StatusServiceUnavailable
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusRequestTimeout
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
@@ -386,6 +438,9 @@
 	switch {
 	case c.mustRefuse(), c.mustRefuseBody() && errors.Is(err, os.ErrDeadlineExceeded):
 		return c.server.refuse(r)
+	case errors.Is(err, errMemory):
+		c.server.onLimited(LimitedMemory)
+		return c.server.refuseOverloaded(r)
 	case errors.Is(err, errBodyTooLong):
 		status = http.StatusRequestEntityTooLarge
 	case status == 0:
@@ -400,7 +455,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.isWorkEnded() && !c.ended {
-		_ = c.nc.SetReadDeadline(time.Now().Add(timeout)) // Fails only if the connection is closed.
+		c.since = time.Now()
+		_ = c.nc.SetReadDeadline(c.since.Add(timeout)) // Fails only if the connection is closed.
 	}
 }
 
@@ -512,6 +568,9 @@
 	err := c.write(a, closeConn)
 	c.server.writers.Put(c.bw)
 	if err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) && !c.mustRefuse() {
+			c.server.onLimited(LimitedUnreadAnswer)
+		}
 		c.abortRequest(p, err)
 		return
 	}
--- a/io/berylhttpserver/pending.go
+++ b/io/berylhttpserver/pending.go
@@ -11,6 +11,8 @@
 	id, host, path string // empty if its header could not be read
 	receivedAt     time.Time
 	wait           Wait
+	charged        int64                   // bytes of memory
+	ahead          bool                    // it was read while an earlier one was pending
 	late           bool                    // it began to arrive after restrict
 	cancel         context.CancelCauseFunc // while it is being handled, else nil
 }
@@ -21,20 +23,25 @@
 
 func (c *conn) addPending(p *pendingRequest) {
 	c.mu.Lock()
+	p.ahead, c.nextIsAhead = c.nextIsAhead, false
 	c.pending = append(c.pending, p)
 	c.arriving, p.late = false, c.late
 	c.mu.Unlock()
+	c.meter.assign(p)
 }
 
 // removePending removes a request. It returns false if Close has removed and reported it.
 func (c *conn) removePending(p *pendingRequest) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	i := slices.Index(c.pending, p)
+	if i >= 0 {
+		c.pending = slices.Delete(c.pending, i, i+1)
+	}
+	c.mu.Unlock()
 	if i < 0 {
 		return false
 	}
-	c.pending = slices.Delete(c.pending, i, i+1)
+	c.mem.Release(p.charged, p.ahead)
 	return true
 }
 
--- a/io/berylhttpserver/server.go
+++ b/io/berylhttpserver/server.go
@@ -16,6 +16,9 @@
 	"sync"
 	"time"
 
+	"berylspan/core/berylconnectionlimit"
+	"berylspan/core/berylmemorybudget"
+	"berylspan/io/berylmemory"
 	"berylspan/io/berylpanic"
 )
 
@@ -23,6 +26,7 @@
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
+	MaxHeaderLines int           // 0 for no limit
 	HeaderTimeout  time.Duration // for reading the header of a request, from its first byte
 	IdleTimeout    time.Duration // for a connection without a request
 }
@@ -42,6 +46,10 @@
 	refuse             func(r *Request) *Answer
 	isNeeded           func() bool
 	serves             func(r *Request) bool
+	memory             *berylmemory.Memory
+	refuseOverloaded   func(r *Request) *Answer
+	connLimit          func() berylconnectionlimit.Limit
+	onLimited          func(l Limited)
 	ln                 net.Listener
 	writers            sync.Pool
 	mu                 sync.Mutex
@@ -65,6 +73,8 @@
 		Handle: handle, MustRunInOrder: mustRunInOrder, Limits: limits, guard: berylpanic.Unguarded,
 		requestID: func(http.Header) string { return "" }, onUnanswered: func(Unanswered) {}, refuse: refuseUnavailable,
 		isNeeded: func() bool { return false }, serves: func(*Request) bool { return false },
+		memory: berylmemory.New(berylmemorybudget.Limits{}), refuseOverloaded: refuseOverloaded,
+		connLimit: func() berylconnectionlimit.Limit { return berylconnectionlimit.Limit{} }, onLimited: func(Limited) {},
 		ln: ln, conns: map[*conn]struct{}{},
 	}
 	for _, opt := range opts {
@@ -99,6 +109,10 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
+		if !s.makeRoom() {
+			_ = nc.Close() // Nothing has been read from it.
+			continue
+		}
 		c := newConn(ctx, s, nc)
 		if !s.start(c) {
 			c.cancel()
@@ -132,6 +146,7 @@
 		if !s.guard(panicPart, c.serve) {
 			c.abort(errPanic)
 		}
+		c.mem.Close()
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
