Refuse requests of other instances that may not be held

Cause: a crowd at one daemon moved its memory to the daemon beside the server: a head of up to 512 KB of fields was decoded for each connection, and connections kept the buffer of their longest message.

Change: the server charges a request before it reads its head and its fields when they are decoded. One that may not be held is skipped and refused as unsent; its connection stays in use. Buffers above 16 KB are given up after each message.

--- a/io/berylmesh/conn.go
+++ b/io/berylmesh/conn.go
@@ -9,6 +9,9 @@
 	"net"
 	"time"
 
+	"berylspan/core/berylmemorybudget"
+	"berylspan/io/berylmemory"
+
 	"golang.org/x/net/http2/hpack"
 )
 
@@ -28,6 +31,10 @@
 	fieldsLeft int // bytes that the fields of the current head may still have
 	idleSince  time.Time
 	acks       *ackWatch
+
+	mem     *berylmemory.Holder // what received messages are charged to, nil for not
+	fields  int                 // of the current head
+	charged int64               // for the current message
 }
 
 const (
@@ -38,8 +45,9 @@
 	fieldOverhead  = 32         // bytes that each decoded field counts in addition to its name and value
 	readBufferSize = 2 << 10    // bytes
 	lingerTime     = 500 * time.Millisecond
-	lingerBytes    = 4 << 20 // of a request body that is not needed
-	hpackTableSize = 4 << 10 // bytes, for each direction
+	lingerBytes    = 4 << 20  // of a request body that is not needed
+	hpackTableSize = 4 << 10  // bytes, for each direction
+	maxKeptBuffer  = 16 << 10 // bytes; a connection that is not in use keeps no more for messages to be sent
 )
 
 var errMalformed = errors.New("malformed message") //nolint:gochecknoglobals // Sentinel error.
@@ -48,6 +56,7 @@
 	c := &conn{nc: nc, br: bufio.NewReaderSize(nc, readBufferSize), acks: newAckWatch(nc)}
 	c.enc = hpack.NewEncoder(&c.out)
 	c.dec = hpack.NewDecoder(hpackTableSize, func(f hpack.HeaderField) {
+		c.fields++
 		if c.fieldsLeft -= len(f.Name) + len(f.Value) + fieldOverhead; c.fieldsLeft >= 0 {
 			c.onField(f)
 		}
@@ -76,6 +85,7 @@
 // have received what it waits for before it handles the message: the complete message, or
 // the head if the body is chunked.
 func (c *conn) writeMessage(body []byte, complete bool) (mayBeRead bool, err error) {
+	defer c.trim()
 	b := c.out.Bytes()
 	headEnd := len(b)
 	binary.BigEndian.PutUint32(b, uint32(len(b)-prefixSize)) //nolint:gosec // Bounded by the size limits of headers.
@@ -95,6 +105,33 @@
 	return n >= headEnd, err
 }
 
+// trim discards the buffer of a long message after it was sent.
+func (c *conn) trim() {
+	if c.out.Cap() > maxKeptBuffer {
+		c.out = bytes.Buffer{}
+	}
+}
+
+// charge reports whether n more bytes may be held for the current message.
+func (c *conn) charge(n int64) bool {
+	if c.mem == nil {
+		return true
+	}
+	ok := c.mem.Charge(n)
+	if ok {
+		c.charged += n
+	}
+	return ok
+}
+
+// release records that the current message is no longer held.
+func (c *conn) release() {
+	if c.mem != nil {
+		c.mem.Release(c.charged, false)
+		c.charged = 0
+	}
+}
+
 // sourceError is an error of the reader that a body is sent from.
 type sourceError struct{ error }
 
@@ -139,7 +176,8 @@
 }
 
 // readHead reads the prefix and the head of a message and calls onField for each field.
-// It returns the length of the body, or -1 if the body is chunked.
+// It returns the length of the body, or -1 if the body is chunked, and a memoryError if the
+// message may not be held.
 func (c *conn) readHead(onField func(f hpack.HeaderField)) (int, error) {
 	var b [prefixSize]byte
 	if _, err := io.ReadFull(c.br, b[:]); err != nil {
@@ -149,11 +187,18 @@
 	if head > maxHeadSize || (body > maxWholeBody && body != chunkedBody) {
 		return 0, errMalformed
 	}
+	cost := berylmemorybudget.RequestCost + int64(head)
+	if body != chunkedBody {
+		cost += int64(body)
+	}
+	if !c.charge(cost) {
+		return 0, c.skip(head, body)
+	}
 	block := make([]byte, head)
 	if _, err := io.ReadFull(c.br, block); err != nil {
 		return 0, err
 	}
-	c.onField, c.fieldsLeft = onField, maxFieldsSize
+	c.onField, c.fieldsLeft, c.fields = onField, maxFieldsSize, 0
 	if _, err := c.dec.Write(block); err != nil {
 		return 0, err
 	}
@@ -163,12 +208,40 @@
 	if c.fieldsLeft < 0 {
 		return 0, errMalformed
 	}
+	if !c.charge(berylmemorybudget.HeadCost(0, c.fields) + int64(maxFieldsSize-c.fieldsLeft)) {
+		return 0, c.skip(0, body)
+	}
 	if body == chunkedBody {
 		return -1, nil
 	}
 	return int(body), nil
 }
 
+// memoryError is the error of a message that may not be held and was skipped. chunked is set if
+// its body was not.
+type memoryError struct{ chunked bool }
+
+func (memoryError) Error() string { return "no memory for the message" }
+
+// skip reads what is left of a message that may not be held, as far as its lengths are known. The
+// head must pass through the HPACK decoder. It returns a memoryError, or that of the connection.
+func (c *conn) skip(head, body uint32) error {
+	c.onField, c.fieldsLeft = func(hpack.HeaderField) {}, maxFieldsSize
+	if _, err := io.CopyN(c.dec, c.br, int64(head)); err != nil {
+		return err
+	}
+	if err := c.dec.Close(); err != nil {
+		return err
+	}
+	if body == chunkedBody {
+		return memoryError{chunked: true}
+	}
+	if _, err := io.CopyN(io.Discard, c.br, int64(body)); err != nil {
+		return err
+	}
+	return memoryError{}
+}
+
 // chunkReader reads a chunked body.
 type chunkReader struct {
 	br        *bufio.Reader
--- a/io/berylmesh/drain.go
+++ b/io/berylmesh/drain.go
@@ -82,8 +82,13 @@
 // refuseNext refuses a request that may be on its way, and reads no more. A sender that has
 // none under way sees that bytes arrive and does not use the connection again.
 func (s *Server) refuseNext(c *conn) {
+	s.refuse(c, berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonShuttingDown))
+}
+
+// refuse sends a refusal and discards what the sender still sends.
+func (s *Server) refuse(c *conn, refusal *berylreply.Reply) {
 	_ = c.nc.SetWriteDeadline(time.Now().Add(lingerTime)) // Fails only if the connection is closed.
-	if s.mesh.writeReply(c, &berylrequest.Request{}, berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonShuttingDown)) == nil {
+	if s.mesh.writeReply(c, &berylrequest.Request{}, refusal) == nil {
 		c.linger()
 	}
 }
--- a/io/berylmesh/mesh.go
+++ b/io/berylmesh/mesh.go
@@ -12,6 +12,7 @@
 	"berylspan/core/berylattempt"
 	"berylspan/core/berylheadernames"
 	"berylspan/io/berylbody"
+	"berylspan/io/berylmemory"
 	"berylspan/io/berylpanic"
 	"berylspan/io/berylreply"
 	"berylspan/io/berylrequest"
@@ -25,6 +26,9 @@
 	dialer *net.Dialer
 	guard  func(part string, f func()) bool
 
+	memory     *berylmemory.Memory // nil for no limit
+	onNoMemory func()
+
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, most recently used last
 }
@@ -43,6 +47,12 @@
 // and reports whether it returned without a panic. After a panic the connection is closed.
 func Guard(run func(part string, f func()) bool) func(*Mesh) { return func(m *Mesh) { m.guard = run } }
 
+// Memory sets what requests from other instances are charged to. A request that may not be held
+// is refused and reported to onRefused.
+func Memory(memory *berylmemory.Memory, onRefused func()) func(*Mesh) {
+	return func(m *Mesh) { m.memory, m.onNoMemory = memory, onRefused }
+}
+
 // New returns a mesh without connections. names holds the names of the headers that it
 // handles itself.
 func New(names berylheadernames.Names, opts ...func(*Mesh)) *Mesh {
--- a/io/berylmesh/mesh_test.go
+++ b/io/berylmesh/mesh_test.go
@@ -19,11 +19,11 @@
 )
 
 // newPair returns a mesh and the address of a server that passes requests to handle.
-func newPair(t *testing.T, handle func(ctx context.Context, req *berylrequest.Request) *berylreply.Reply) (*Mesh, string) {
+func newPair(t *testing.T, handle func(ctx context.Context, req *berylrequest.Request) *berylreply.Reply, opts ...func(*Mesh)) (*Mesh, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	m := New(berylheadernames.Default())
+	m := New(berylheadernames.Default(), opts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	s := m.NewServer(ln, handle)
 	done := make(chan struct{})
--- a/io/berylmesh/server.go
+++ b/io/berylmesh/server.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"berylspan/core/berylattempt"
 	"berylspan/io/berylreply"
 	"berylspan/io/berylrequest"
 	"berylspan/io/berylsocket"
@@ -40,6 +41,8 @@
 	acceptRetryDelay = 5 * time.Millisecond // after a failed accept, for example with too many open files
 )
 
+const peerAddr = "" // stands for all instances, whose callers are held to the limit of an address already
+
 const panicPart = "connection of an instance" // in logs and metrics
 
 // NewServer returns a server that passes requests from ln to handle once Run is called.
@@ -61,6 +64,9 @@
 			continue
 		}
 		c := newConn(nc)
+		if s.mesh.memory != nil {
+			c.mem = s.mesh.memory.Open(peerAddr, nil)
+		}
 		if !s.start(ctx, c) {
 			c.close()
 			return
@@ -86,6 +92,9 @@
 	s.wg.Go(func() {
 		s.mesh.guard(panicPart, func() { s.serveConn(ctx, c, r) })
 		c.close()
+		if c.mem != nil {
+			c.mem.Close()
+		}
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
@@ -116,17 +125,36 @@
 			break
 		}
 		req, err := s.mesh.readRequest(c)
-		if err != nil {
+		var noMemory memoryError
+		switch {
+		case errors.As(err, &noMemory):
+			if !s.refuseForMemory(c, noMemory.chunked) {
+				return
+			}
+		case err != nil:
 			return // The peer closed the connection or is not an instance.
-		}
-		if !s.serveRequest(ctx, c, req, r) {
+		case !s.serveRequest(ctx, c, req, r):
 			return
 		}
+		c.release()
 		s.endRequest(r)
 	}
 	s.refuseNext(c)
 }
 
+// refuseForMemory refuses a request that may not be held. It returns false if the connection
+// can't be used again, because the body of the request is still to come.
+func (s *Server) refuseForMemory(c *conn, bodyToCome bool) bool {
+	s.mesh.onNoMemory()
+	refusal := berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonQueueFull)
+	if bodyToCome {
+		s.refuse(c, refusal)
+		return false
+	}
+	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) // Fails only if the connection is closed.
+	return s.mesh.writeReply(c, &berylrequest.Request{}, refusal) == nil
+}
+
 // serveRequest handles one request and reports whether the connection can be used again.
 func (s *Server) serveRequest(parent context.Context, c *conn, req *berylrequest.Request, r *request) bool {
 	ctx, limit := beryltimelimit.New(parent, req.Deadline)
