Keep the daemon within the memory and descriptors of its machine

Cause: the settings limits.memory_mb and limits.max_fds were not read.

Change: a quarter of the memory may be held for callers, the Go runtime gets half of it as its soft limit (GOMEMLIMIT and the control group count too), three quarters of the sockets may be callers' connections, and one in eight of the sockets a request that is read ahead. Sockets of callers hold 128 KB at most in each direction. A head may have 8,192 lines, more than fit in 16,384 bytes. Metrics and one log line a second of each kind tell of it.

--- a/io/berylproxy/check.go
+++ b/io/berylproxy/check.go
@@ -31,6 +31,7 @@
 	reasonOverRate    = "over the rate"
 	reasonNoInstance  = "no instance"
 	reasonNoTimeLeft  = "no time left"
+	reasonMemory      = "memory"
 )
 
 // request is the state of a caller's request while it is served.
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -308,11 +308,21 @@
 // RefuseStopping returns the answer to a request that was not started before the time of a
 // stop was over.
 func (p *Proxy) RefuseStopping(r *berylhttpserver.Request) *berylhttpserver.Answer {
+	return p.refuseUnstarted(r, berylreply.ReasonShuttingDown)
+}
+
+// RefuseOverloaded returns the answer to a request that was not started because too much memory
+// is held for callers.
+func (p *Proxy) RefuseOverloaded(r *berylhttpserver.Request) *berylhttpserver.Answer {
+	return p.refuseUnstarted(r, reasonMemory)
+}
+
+func (p *Proxy) refuseUnstarted(r *berylhttpserver.Request, reason string) *berylhttpserver.Answer {
 	q := &request{Request: r}
 	if config := p.State().Config; config != nil {
 		q.rule = config.Match(r.Host, r.Path)
 	}
-	a := p.refuse(q, http.StatusServiceUnavailable, berylreply.ReasonShuttingDown, berylbackoff.MinDelay)
+	a := p.refuse(q, http.StatusServiceUnavailable, reason, berylbackoff.MinDelay)
 	a.OmitBody = r.Method == http.MethodHead
 	p.recordRequest(q, a)
 	return a
--- a/io/berylsidecar/meter.go
+++ b/io/berylsidecar/meter.go
@@ -21,6 +21,7 @@
 	panics   *prometheus.CounterVec
 	lost     *prometheus.CounterVec
 	crashes  prometheus.Counter
+	limited  *prometheus.CounterVec
 }
 
 const namespace = "berylspan"
@@ -53,7 +54,10 @@
 	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{
 		Namespace: namespace, Name: "server_ends_total", Help: "Unannounced ends of the backend server beside the instance while it ran requests.",
 	})
-	m.reg.MustRegister(m.requests, m.ends, m.works, m.waits, m.panics, m.lost, m.crashes)
+	m.limited = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "limited_total", Help: "Requests refused and connections closed because of a limit on memory, header lines or connections, by kind.",
+	}, []string{"kind"})
+	m.reg.MustRegister(m.limited, m.requests, m.ends, m.works, m.waits, m.panics, m.lost, m.crashes)
 	return m
 }
 
@@ -91,6 +95,13 @@
 	}, func() float64 { return float64(count()) }))
 }
 
+// watchMemory adds a gauge of what is held for callers and other instances.
+func (m *meter) watchMemory(held func() int64) {
+	m.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "held_bytes", Help: "Memory charged to the requests and answers of callers and of other instances, in bytes.",
+	}, func() float64 { return float64(held()) }))
+}
+
 func (m *meter) request(workspace, rule string, status int, reason string, took time.Duration) {
 	m.requests.WithLabelValues(workspace, rule).Observe(took.Seconds())
 	m.ends.WithLabelValues(rule, strconv.Itoa(status), reason).Inc()
--- a/io/berylsidecar/settings.go
+++ b/io/berylsidecar/settings.go
@@ -15,4 +15,8 @@
 	Port    string // for words, knowledge and metrics, TCP and UDP
 	Work    string // port for requests between instances
 	Grace   time.Duration
+
+	Memory         int64 // bytes that the process may take, 0 if unknown
+	Sockets        int   // that the process may have open, 0 if unknown
+	MaxHeaderLines int   // of a caller's request, 0 for the default
 }
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -12,7 +12,6 @@
 
 	"berylspan/core/berylattempt"
 	"berylspan/core/berylheadernames"
-	"berylspan/core/berylhttpconfig"
 	"berylspan/core/berylramp"
 	"berylspan/core/berylregistration"
 	"berylspan/core/berylreserve"
@@ -21,6 +20,7 @@
 	"berylspan/io/berylcrashes"
 	"berylspan/io/berylgossip"
 	"berylspan/io/berylhttpserver"
+	"berylspan/io/berylmemory"
 	"berylspan/io/berylmesh"
 	"berylspan/io/berylpanic"
 	"berylspan/io/berylproxy"
@@ -28,6 +28,7 @@
 	"berylspan/io/berylreply"
 	"berylspan/io/berylrequest"
 	"berylspan/io/berylrunner"
+	"berylspan/io/berylsocket"
 	"berylspan/io/berylstorecache"
 
 	"github.com/rotisserie/eris"
@@ -57,6 +58,10 @@
 	face  *berylhttpserver.Server
 	work  *berylmesh.Server
 	meter *meter
+
+	memory     *berylmemory.Memory // held for callers and for requests of other instances
+	limitedLog limitedLog
+
 	guard *berylpanic.Guard
 
 	udp     *net.UDPConn
@@ -78,7 +83,9 @@
 		MaxResponseHeaderBytes: maxHeadSize, DisableCompression: true,
 	}}
 	s.guard = berylpanic.New(log, berylpanic.OnPanic(s.meter.panicked))
-	s.mesh = berylmesh.New(names, berylmesh.Guard(s.guard.Run))
+	s.memory = berylmemory.New(memoryLimits(set))
+	s.meter.watchMemory(s.memory.Held)
+	s.mesh = berylmesh.New(names, berylmesh.Guard(s.guard.Run), berylmesh.Memory(s.memory, func() { s.limited(limitedPeer) }))
 	s.view = berylstorecache.New(feed, log,
 		berylstorecache.Guard(s.guard.Run),
 		berylstorecache.Fetch(s.pull),
@@ -138,7 +145,7 @@
 	s.cancel = cancel
 	set := s.set.Load()
 	lc := &net.ListenConfig{Control: berylmesh.SetTCPUserTimeout}
-	callers, err := new(net.ListenConfig).Listen(ctx, "tcp", set.Callers)
+	callers, err := (&net.ListenConfig{Control: berylsocket.SetBuffers(callerSocketBytes)}).Listen(ctx, "tcp", set.Callers)
 	if err != nil {
 		return eris.Wrap(err, "callers")
 	}
@@ -167,6 +174,8 @@
 	s.face = berylhttpserver.New(callers, s.enter.Serve, s.enter.MustRunInOrder, s.limits, berylhttpserver.Guard(s.guard.Run),
 		berylhttpserver.OnUnanswered(func(h http.Header) string { return h.Get(s.names.RequestID) }, s.unanswered),
 		berylhttpserver.Refuse(s.enter.RefuseStopping),
+		berylhttpserver.Memory(s.memory), berylhttpserver.RefuseOverloaded(s.enter.RefuseOverloaded),
+		berylhttpserver.Connections(s.connLimit), berylhttpserver.OnLimited(s.limitedCaller),
 		berylhttpserver.ServeWhileStopping(func() bool { return s.beside.Busy() > 0 }, s.enter.IsNested))
 	s.loops.Go(func() { s.gossip.Run(run) })
 	s.loops.Go(func() { s.view.Run(run) })
@@ -215,20 +224,10 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (s *Sidecar) limits() berylhttpserver.Limits {
-	p := s.view.State().Config
-	if p == nil {
-		return berylhttpserver.Limits{
-			MaxHeaderBytes: berylhttpconfig.DefaultMaxHeaderBytes, MaxBodyBytes: berylhttpconfig.DefaultMaxBodyBytes,
-			HeaderTimeout: berylhttpconfig.DefaultHeaderTimeout, IdleTimeout: berylhttpconfig.DefaultIdleTimeout,
-		}
-	}
-	return berylhttpserver.Limits{MaxHeaderBytes: p.MaxHeaderBytes, MaxBodyBytes: p.MaxBodyBytes, HeaderTimeout: p.HeaderTimeout, IdleTimeout: p.IdleTimeout}
-}
-
 // Reload takes changed settings. Listeners stay as they are.
 func (s *Sidecar) Reload(set Settings) {
 	s.set.Store(&set)
+	s.memory.SetLimits(memoryLimits(set))
 	s.beside.SetAddr(set.Backend)
 	s.log.Info().Str("service", set.Service).Str("backend", set.Backend).Msg("settings reloaded")
 }
