Let a request charge what is kept of its streamed body

Cause: whoever keeps a part of a streamed body, to send it once more, holds memory that nothing counts.

Change: Request.Hold, set for streamed bodies, charges bytes until the answer is written. Nothing uses it yet.

Result: the test holds 200 KB of a budget of 512 KB, is refused another 200 KB, and nothing is held after the answer.

--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -356,6 +356,9 @@
 		})
 		return written, false
 	}
+	if stream != nil {
+		r.Hold = func(n int64) bool { return c.hold(p, n) }
+	}
 	c.wg.Go(func() {
 		a := &Answer{Abort: true} // unless handle returns
 		c.server.guard(panicPart, func() { a = c.handle(p, r, prevWritten) })
--- a/io/berylhttpserver/limited_test.go
+++ b/io/berylhttpserver/limited_test.go
@@ -239,3 +239,17 @@
 	}
 	require.Zero(t, s.Busy())
 }
+
+func TestHoldChargesWhatIsKeptOfAStreamUntilTheAnswerIsWritten(t *testing.T) {
+	var held []bool
+	s, dial := startLimitedServer(t, berylmemorybudget.Limits{Total: 512 << 10}, berylconnectionlimit.Limit{}, func(_ context.Context, r *Request) *Answer {
+		held = append(held, r.Hold(200<<10), r.Hold(200<<10))
+		_, _ = io.Copy(io.Discard, r.Stream)
+		return textAnswer("ok")
+	})
+	c := dial()
+	send(t, c, "PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("b", 100000))
+	require.Equal(t, []string{"200 ok"}, readAnswers(t, c, 1))
+	require.Equal(t, []bool{true, false}, held)
+	require.Eventually(t, func() bool { return s.memory.Held() == 0 }, 5*time.Second, time.Millisecond)
+}
--- a/io/berylhttpserver/meter.go
+++ b/io/berylhttpserver/meter.go
@@ -143,6 +143,24 @@
 	}
 }
 
+// hold charges n bytes to a pending request until it is removed, and reports whether they may be
+// held.
+func (c *conn) hold(p *pendingRequest, n int64) bool {
+	if !c.mem.Charge(n) {
+		return false
+	}
+	c.mu.Lock()
+	removed := p.removed
+	if !removed {
+		p.charged += n
+	}
+	c.mu.Unlock()
+	if removed {
+		c.mem.Release(n, false)
+	}
+	return !removed
+}
+
 // chargeAnswer charges an answer that is held until its turn. If there is no memory for it and
 // the caller has not read earlier ones, the connection is closed.
 func (c *conn) chargeAnswer(p *pendingRequest, a *Answer) {
@@ -150,13 +168,7 @@
 	if a.Stream != nil {
 		cost += berylmemorybudget.StreamCost
 	}
-	if cost <= ordinaryAnswer {
-		return
-	}
-	if c.mem.Charge(cost) {
-		c.mu.Lock()
-		p.charged += cost
-		c.mu.Unlock()
+	if cost <= ordinaryAnswer || c.hold(p, cost) {
 		return
 	}
 	if c.busy() > 1 && !c.hasEnded() {
--- a/io/berylhttpserver/pending.go
+++ b/io/berylhttpserver/pending.go
@@ -12,6 +12,7 @@
 	receivedAt     time.Time
 	wait           Wait
 	charged        int64                   // bytes of memory
+	removed        bool                    // nothing more is held for it
 	ahead          bool                    // it was read while an earlier one was pending
 	late           bool                    // it began to arrive after restrict
 	cancel         context.CancelCauseFunc // while it is being handled, else nil
@@ -37,12 +38,11 @@
 	if i >= 0 {
 		c.pending = slices.Delete(c.pending, i, i+1)
 	}
+	charged := p.charged
+	p.charged, p.removed = 0, true
 	c.mu.Unlock()
-	if i < 0 {
-		return false
-	}
-	c.mem.Release(p.charged, p.ahead)
-	return true
+	c.mem.Release(charged, p.ahead && i >= 0)
+	return i >= 0
 }
 
 // beginHandling returns the context for handling a request, or false if the request must not
