Charge a body that was read by what its buffer holds

Cause: a body was charged twice its bytes, as its buffer may grow, until its answer was written; many uploads would meet the limit at half of it.

Change: when it has been read, it is charged the capacity of its buffer.

--- a/io/berylhttpserver/body.go
+++ b/io/berylhttpserver/body.go
@@ -78,8 +78,7 @@
 	bounded := &maxBytesReader{r: httpReq.Body, remaining: limits.MaxBodyBytes}
 	c.meter.part = partBody
 	first, err := io.ReadAll(io.LimitReader(bounded, maxBufferedBody))
-	c.meter.part = partNone
-	c.meter.assign(p)
+	c.meter.endBody(p, int64(cap(first)))
 	if err != nil {
 		return nil, err
 	}
--- a/io/berylhttpserver/meter.go
+++ b/io/berylhttpserver/meter.go
@@ -109,6 +109,16 @@
 	maxWaitDelay = 16 * time.Millisecond
 )
 
+// endBody makes p hold a body that was read, of which n bytes are held.
+func (m *meter) endBody(p *pendingRequest, n int64) {
+	m.part = partNone
+	if excess := m.charged - n; excess > 0 {
+		m.c.mem.Release(excess, false)
+		m.charged = n
+	}
+	m.assign(p)
+}
+
 // assign makes p hold what has been charged.
 func (m *meter) assign(p *pendingRequest) {
 	n := m.charged
