Hold callers of the Connect face to memory and connections

Cause: a caller could open 1,000 streams on a connection, each with a head of 64 KB, and leave answers unread for as long as it liked; connections were not bounded.

Change: the callers' listener charges head, body and what is being written of a request; what may not be held is refused with 503 and Beryl-Run: not run, a head of too many lines with 431. A caller that accepts nothing of an answer or sends nothing of a body for 30 s is cut off, sooner if it holds most and memory is needed. The connections idle for longest give way to new ones. At most 250 streams on a connection. The soft limit of the Go runtime is set for serve too. Settings memory and sockets; without them the control group, GOMEMLIMIT and the limit of open files count.

--- a/io/berylapp/commands.go
+++ b/io/berylapp/commands.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -13,12 +14,14 @@
 	"runtime/debug"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"berylspan/core/berylconfig"
 	"berylspan/io/beryldaemon"
 	"berylspan/io/beryldemo"
 	"berylspan/io/beryllog"
+	"berylspan/io/berylmemory"
 	"berylspan/io/berylsettings"
 
 	"github.com/rs/zerolog"
@@ -40,6 +43,10 @@
 		return Findings
 	}
 	debug.SetGCPercent(gcPercent)
+	set.Memory = berylmemory.LimitRuntime(set.Memory)
+	if set.Sockets == 0 {
+		set.Sockets = openFiles()
+	}
 	out := beryllog.New(a.err)
 	defer out.Close()
 	log := logger(out, set)
@@ -73,6 +80,15 @@
 	return code
 }
 
+// openFiles returns how many files and sockets the process may have open, 0 if unknown.
+func openFiles() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(limit.Cur)
+}
+
 func logger(w io.Writer, set berylsettings.Settings) zerolog.Logger {
 	if set.Format == "text" {
 		w = zerolog.ConsoleWriter{Out: w, TimeFormat: time.RFC3339}
--- a/io/beryldaemon/daemon.go
+++ b/io/beryldaemon/daemon.go
@@ -14,6 +14,7 @@
 	"berylspan/core/berylinvariant"
 	"berylspan/core/berylpolicy"
 	"berylspan/core/berylrefusal"
+	"berylspan/core/berylthrottle"
 	"berylspan/io/berylbackend"
 	"berylspan/io/berylcalltokens"
 	"berylspan/io/berylclock"
@@ -73,8 +74,12 @@
 	loops   sync.WaitGroup
 	cancel  context.CancelFunc
 	panics  *berylpanic.Guard
-	failed  chan struct{}
-	fail    func() // closes failed
+
+	limitedMu  sync.Mutex
+	limitedLog *berylthrottle.Throttle
+
+	failed chan struct{}
+	fail   func() // closes failed
 }
 
 // Policy sets what the daemon controls.
@@ -98,6 +103,7 @@
 	for _, o := range opts {
 		o(d)
 	}
+	d.limitedLog = berylthrottle.New(limitedLogInterval)
 	d.panics, d.failed = berylpanic.New(log), make(chan struct{})
 	d.fail = sync.OnceFunc(func() { close(d.failed) })
 	d.metrics = berylmetrics.New(d.gauges())
@@ -221,15 +227,15 @@
 	if err := d.ready(ctx); err != nil {
 		return err
 	}
-	return d.listen(d.set.Callers, d.entry.Handler(), d.secure.Callers())
+	return d.listen(d.set.Callers, d.entry.Handler(), d.secure.Callers(), berylserver.Limit(d.callerLimits()))
 }
 
-func (d *Daemon) listen(addr string, h http.Handler, secure *tls.Config) error {
+func (d *Daemon) listen(addr string, h http.Handler, secure *tls.Config, opts ...func(*berylserver.Server)) error {
 	ln, err := d.open(addr)
 	if err != nil {
 		return eris.Wrapf(err, "address %s", addr)
 	}
-	d.servers = append(d.servers, berylserver.Serve(ln, h, secure))
+	d.servers = append(d.servers, berylserver.Serve(ln, h, secure, opts...))
 	return nil
 }
 
--- a/platform/berylrun/memory.go
+++ b/io/berylmemory/runtime.go
@@ -1,4 +1,4 @@
-package berylrun
+package berylmemory
 
 import (
 	"math"
@@ -13,10 +13,10 @@
 	cgroupMemoryPath = "/sys/fs/cgroup/memory.max"
 )
 
-// limitMemory sets the soft memory limit of the Go runtime from the memory of the machine in
+// LimitRuntime sets the soft memory limit of the Go runtime from the memory of the machine in
 // bytes, 0 if the settings name none, and returns the memory that the process may take: the
 // settings' or else that of its control group, 0 if unknown. GOMEMLIMIT wins over both.
-func limitMemory(memory int64) int64 {
+func LimitRuntime(memory int64) int64 {
 	if os.Getenv("GOMEMLIMIT") != "" {
 		// The runtime has read it.
 		if n := debug.SetMemoryLimit(-1); n < math.MaxInt64/memoryLimitShare && (memory == 0 || n*memoryLimitShare < memory) {
--- a/platform/berylrun/memory_test.go
+++ b/io/berylmemory/runtime_test.go
@@ -1,4 +1,4 @@
-package berylrun
+package berylmemory
 
 import (
 	"math"
@@ -14,11 +14,11 @@
 	before := debug.SetMemoryLimit(math.MaxInt64)
 	t.Cleanup(func() { debug.SetMemoryLimit(before) })
 	t.Setenv("GOMEMLIMIT", "")
-	require.EqualValues(t, 200<<20, limitMemory(200<<20))
+	require.EqualValues(t, 200<<20, LimitRuntime(200<<20))
 	require.EqualValues(t, 100<<20, debug.SetMemoryLimit(-1))
 	t.Setenv("GOMEMLIMIT", "set")
-	require.EqualValues(t, 200<<20, limitMemory(0), "what the runtime was told")
-	require.EqualValues(t, 100<<20, limitMemory(100<<20), "the settings name less")
+	require.EqualValues(t, 200<<20, LimitRuntime(0), "what the runtime was told")
+	require.EqualValues(t, 100<<20, LimitRuntime(100<<20), "the settings name less")
 	require.EqualValues(t, 100<<20, debug.SetMemoryLimit(-1), "it stays as it was")
 }
 
--- a/io/berylmetrics/metrics.go
+++ b/io/berylmetrics/metrics.go
@@ -20,6 +20,7 @@
 	refusals   *prometheus.CounterVec
 	attempts   *prometheus.CounterVec
 	violations *prometheus.CounterVec
+	limited    *prometheus.CounterVec
 
 	mu             sync.Mutex
 	recentRefusals []berylrefusalevent.Event
@@ -51,7 +52,10 @@
 			Namespace: namespace, Name: "violations_total", Help: "Violated invariants; must stay 0.",
 		}, []string{"invariant"}),
 	}
-	m.reg.MustRegister(m.calls, m.refusals, m.attempts, m.violations)
+	m.limited = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "limited_total", Help: "Requests refused and connections closed because of a limit on memory, header lines or connections, by kind.",
+	}, []string{"kind"})
+	m.reg.MustRegister(m.limited, m.calls, m.refusals, m.attempts, m.violations)
 	for name, f := range gauges {
 		m.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: "See docs/OPERATORS.md."}, f))
 	}
@@ -71,6 +75,9 @@
 // CountAttempt counts a call sent to an instance.
 func (m *Metrics) CountAttempt(service string) { m.attempts.WithLabelValues(service).Inc() }
 
+// CountLimited counts what was done about a caller beyond a limit.
+func (m *Metrics) CountLimited(kind string) { m.limited.WithLabelValues(kind).Inc() }
+
 // CountViolation counts a violation of the named invariant.
 func (m *Metrics) CountViolation(invariant string) { m.violations.WithLabelValues(invariant).Inc() }
 
--- a/io/berylserver/server.go
+++ b/io/berylserver/server.go
@@ -19,18 +19,20 @@
 	ln      net.Listener
 	cancel  context.CancelCauseFunc // of the contexts of all requests
 	running atomic.Int64            // requests
+	limits  *limiter                // nil without
 	done    chan error              // receives the result of serving, then is closed
 }
 
 const (
-	headerTimeout     = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
-	pingAfterIdle     = 10 * time.Second
-	pingTimeout       = 5 * time.Second
-	maxStreamsPerConn = 1000
-	streamBufferBytes = 256 << 10
-	connBufferBytes   = 4 << 20
+	headerTimeout       = 5 * time.Second
+	idleTimeout         = 2 * time.Minute
+	maxHeaderBytes      = 64 << 10
+	pingAfterIdle       = 10 * time.Second
+	pingTimeout         = 5 * time.Second
+	maxStreamsPerConn   = 1000 // of another daemon or the backend server
+	maxStreamsPerCaller = 250  // on one connection of a caller that is held to limits
+	streamBufferBytes   = 256 << 10
+	connBufferBytes     = 4 << 20
 )
 
 // Start listens on addr and serves HTTP/1 and HTTP/2 in the background. If tlsConfig is
@@ -51,13 +53,20 @@
 
 // Serve serves HTTP/1 and HTTP/2 on ln in the background. If tlsConfig is nil, connections
 // are plaintext.
-func Serve(ln net.Listener, handler http.Handler, tlsConfig *tls.Config) *Server {
+func Serve(ln net.Listener, handler http.Handler, tlsConfig *tls.Config, opts ...func(*Server)) *Server {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(tlsConfig != nil)
 	protocols.SetUnencryptedHTTP2(tlsConfig == nil)
 	ctx, cancel := context.WithCancelCause(context.Background())
 	s := &Server{ln: ln, cancel: cancel, done: make(chan error, 1)}
+	for _, opt := range opts {
+		opt(s)
+	}
+	streams := maxStreamsPerConn
+	if s.limits != nil {
+		handler, streams = s.limits.handler(handler), maxStreamsPerCaller
+	}
 	s.http = &http.Server{
 		Handler:           s.count(handler),
 		BaseContext:       func(net.Listener) context.Context { return ctx },
@@ -67,7 +76,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		TLSConfig:         tlsConfig,
 		HTTP2: &http.HTTP2Config{
-			MaxConcurrentStreams: maxStreamsPerConn,
+			MaxConcurrentStreams: streams,
 			SendPingTimeout:      pingAfterIdle,
 			PingTimeout:          pingTimeout,
 
@@ -75,6 +84,10 @@
 			MaxReceiveBufferPerConnection: connBufferBytes,
 		},
 	}
+	if s.limits != nil {
+		s.http.ConnState = s.limits.connChanged
+		s.http.HTTP2.WriteByteTimeout = transferTimeout
+	}
 	go func() {
 		s.done <- s.serve(tlsConfig)
 		close(s.done)
--- a/io/berylsettings/settings.go
+++ b/io/berylsettings/settings.go
@@ -37,6 +37,8 @@
 	Cert     string        // PEM file of this instance's certificate chain
 	Key      string        // PEM file of its private key
 	CA       string        // PEM file of the authorities that sign daemons' certificates
+	Memory   int64         // bytes that the process may take, 0 for those of its control group or twice GOMEMLIMIT
+	Sockets  int           // that the process may have open, 0 for its limit of open files
 }
 
 // Default returns the settings that hold where the file is silent.
@@ -55,6 +57,9 @@
 	maxSlots  = 100_000
 	minSecret = 16 // bytes
 	maxDrain  = 10 * time.Minute
+
+	maxMemoryMB = 1 << 20
+	maxSockets  = 1 << 20
 )
 
 // Load reads the file at path. All findings are in the error.
@@ -72,7 +77,7 @@
 	var out []berylfinding.Finding
 	s := Default()
 	n := beryljson.Parse(file, data, &out).Object("id", "service", "zone", "callers", "peers", "reach", "local", "backend",
-		"http1", "slots", "platform", "seeds", "secret", "drain", "level", "format", "pprof", "strict", "cert", "key", "ca")
+		"http1", "slots", "platform", "seeds", "secret", "drain", "level", "format", "pprof", "strict", "cert", "key", "ca", "memory", "sockets")
 	if !n.Exists() {
 		return s, out
 	}
@@ -99,6 +104,8 @@
 	s.Cert = n.Field("cert").Text("")
 	s.Key = n.Field("key").Text("")
 	s.CA = n.Field("ca").Text("")
+	s.Memory = int64(n.Field("memory").Number(0, 0, maxMemoryMB)) << 20
+	s.Sockets = int(n.Field("sockets").Number(0, 0, maxSockets))
 	s.check(n)
 	return s, out
 }
--- a/io/berylsidecar/limited.go
+++ b/io/berylsidecar/limited.go
@@ -1,7 +1,6 @@
 package berylsidecar
 
 import (
-	"sync"
 	"time"
 
 	"berylspan/core/berylconnectionlimit"
@@ -38,45 +37,15 @@
 	return max(DefaultMaxHeaderLines, maxHeaderBytes/minLineBytes)
 }
 
-// limitedLog counts what was done about callers beyond a limit, for one log line a second of
-// each kind.
-type limitedLog struct {
-	mu    sync.Mutex
-	kinds map[string]*limitedKind
-}
-
-type limitedKind struct {
-	count    int // since the last line
-	loggedAt time.Time
-}
-
-const limitedLogInterval = time.Second
-
-// add counts one and returns how many to log now, 0 for none.
-func (l *limitedLog) add(kind string, now time.Time) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.kinds == nil {
-		l.kinds = map[string]*limitedKind{}
-	}
-	k := l.kinds[kind]
-	if k == nil {
-		k = &limitedKind{}
-		l.kinds[kind] = k
-	}
-	k.count++
-	if now.Sub(k.loggedAt) < limitedLogInterval {
-		return 0
-	}
-	n := k.count
-	k.count, k.loggedAt = 0, now
-	return n
-}
+const limitedLogInterval = time.Second // between two log lines of a kind
 
 // limited counts and logs what was done about a caller or an instance beyond a limit.
 func (s *Sidecar) limited(kind string) {
 	s.meter.limited.WithLabelValues(kind).Inc()
-	if n := s.limitedLog.add(kind, time.Now()); n > 0 {
+	s.limitedMu.Lock()
+	n := s.limitedLog.Add(kind, time.Now())
+	s.limitedMu.Unlock()
+	if n > 0 {
 		s.log.Warn().Str("kind", kind).Int("count", n).Int64("held", s.memory.Held()).Int64("most", memoryLimits(*s.set.Load()).Total).
 			Int("sockets", s.set.Load().Sockets).Msg("limit reached")
 	}
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"berylspan/core/berylregistration"
 	"berylspan/core/berylreserve"
 	"berylspan/core/berylserverstatus"
+	"berylspan/core/berylthrottle"
 	"berylspan/io/berylclock"
 	"berylspan/io/berylcrashes"
 	"berylspan/io/berylgossip"
@@ -60,7 +61,8 @@
 	meter *meter
 
 	memory     *berylmemory.Memory // held for callers and for requests of other instances
-	limitedLog limitedLog
+	limitedMu  sync.Mutex
+	limitedLog *berylthrottle.Throttle
 
 	guard *berylpanic.Guard
 
@@ -83,7 +85,7 @@
 		MaxResponseHeaderBytes: maxHeadSize, DisableCompression: true,
 	}}
 	s.guard = berylpanic.New(log, berylpanic.OnPanic(s.meter.panicked))
-	s.memory = berylmemory.New(memoryLimits(set))
+	s.memory, s.limitedLog = berylmemory.New(memoryLimits(set)), berylthrottle.New(limitedLogInterval)
 	s.meter.watchMemory(s.memory.Held)
 	s.mesh = berylmesh.New(names, berylmesh.Guard(s.guard.Run), berylmesh.Memory(s.memory, func() { s.limited(limitedPeer) }))
 	s.view = berylstorecache.New(feed, log,
