Charge what is kept of a streamed upload to its connection

Change: berylupload asks before it keeps bytes for a retry; without an allowance it keeps nothing more, and the upload can be sent to one server only. The proxy asks the budget of the caller's connection.

--- a/io/berylproxy/check.go
+++ b/io/berylproxy/check.go
@@ -143,7 +143,7 @@
 		Nested: isNested(config, q.rule, key),
 	}
 	if q.Stream != nil {
-		q.upload = berylupload.New(q.Stream)
+		q.upload = berylupload.New(q.Stream, berylupload.Hold(q.Hold))
 	}
 	timeout := timeLeft
 	if q.rule.Timeout > 0 {
--- a/io/berylupload/upload.go
+++ b/io/berylupload/upload.go
@@ -13,13 +13,15 @@
 // may still read while the next one begins.
 type Upload struct {
 	src     io.Reader
-	maxKept int        // bytes
+	maxKept int // bytes
+	hold    func(n int64) bool
 	srcMu   sync.Mutex // held while src is read
 
 	mu        sync.Mutex
 	latest    *attempt
 	kept      []byte // all that was read, unless discarded
-	discarded bool   // more than maxKept bytes were read
+	held      int    // bytes that hold has allowed
+	discarded bool   // more was read than may be kept
 	err       error  // from src, after kept
 }
 
@@ -31,9 +33,12 @@
 // MaxKept sets how many bytes are kept for a later attempt, instead of 256 KiB.
 func MaxKept(n int) func(*Upload) { return func(u *Upload) { u.maxKept = n } }
 
+// Hold sets the function that reports whether n more bytes may be kept.
+func Hold(hold func(n int64) bool) func(*Upload) { return func(u *Upload) { u.hold = hold } }
+
 // New returns an upload that reads from src.
 func New(src io.Reader, opts ...func(*Upload)) *Upload {
-	u := &Upload{src: src, maxKept: defaultMaxKept}
+	u := &Upload{src: src, maxKept: defaultMaxKept, hold: func(int64) bool { return true }}
 	for _, opt := range opts {
 		opt(u)
 	}
@@ -106,11 +111,23 @@
 func (u *Upload) reserve(p []byte) ([]byte, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.discarded || len(u.kept) >= u.maxKept {
+	n := min(len(p), u.maxKept-len(u.kept))
+	if u.discarded || n == 0 || !u.mayKeep(len(u.kept)+n) {
 		u.discarded, u.kept = true, nil
 		return p, false
 	}
-	return p[:min(len(p), u.maxKept-len(u.kept))], true
+	return p[:n], true
+}
+
+// mayKeep reports whether n bytes may be kept in total. The caller holds mu.
+func (u *Upload) mayKeep(n int) bool {
+	if n > u.held {
+		if !u.hold(int64(n - u.held)) {
+			return false
+		}
+		u.held = n
+	}
+	return true
 }
 
 func (u *Upload) record(p []byte, keep bool, err error) {
--- a/io/berylupload/upload_test.go
+++ b/io/berylupload/upload_test.go
@@ -50,6 +50,20 @@
 	require.False(t, ok)
 }
 
+func TestNothingIsKeptThatMayNotBeHeld(t *testing.T) {
+	held := int64(0)
+	u := New(strings.NewReader("the body"), Hold(func(n int64) bool { held += n; return held <= 4 }))
+	first, ok := u.Attempt()
+	require.True(t, ok)
+	_, err := io.ReadFull(first, make([]byte, 4))
+	require.NoError(t, err)
+	require.True(t, u.CanRepeat())
+	b, err := io.ReadAll(first)
+	require.NoError(t, err)
+	require.Equal(t, "body", string(b))
+	require.False(t, u.CanRepeat())
+}
+
 // The next attempt begins while the previous one waits for the caller's next bytes.
 func TestBytesThatEarlierAttemptWaitedForReachLaterOne(t *testing.T) {
 	r, w := io.Pipe()
