--- a/core/berylbackoff/backoff.go
+++ b/core/berylbackoff/backoff.go
@@ -37,6 +37,25 @@
 	return max(MinDelay, time.Duration(float64(maxDelay(timeToTarget, timeToDeadline))*random))
 }
 
+// The fractions of the time left until the target between which LateDelay lies.
+const (
+	minLateShare = 0.5
+	maxLateShare = 0.7
+)
+
+// LateDelay returns how long to wait before retrying a request that was refused because
+// something it needs is out of order for some seconds: as long as its retry can still meet
+// the target latency. Callers wait at most a third of the time that they have left. The
+// arguments are those of RetryDelay.
+func LateDelay(timeToTarget, timeToDeadline time.Duration, random float64) time.Duration {
+	longest := time.Duration(float64(timeToDeadline) * maxDelayShare)
+	if timeToTarget <= 0 {
+		return max(MinDelay, longest)
+	}
+	delay := time.Duration(float64(timeToTarget) * (minLateShare + (maxLateShare-minLateShare)*random))
+	return max(MinDelay, min(delay, longest))
+}
+
 func maxDelay(timeToTarget, timeToDeadline time.Duration) time.Duration {
 	left := timeToTarget
 	if left <= 0 {
--- /dev/null
+++ b/core/berylchain/gate.go
@@ -0,0 +1,139 @@
+// Package berylchain limits the requests that begin on one backend server while a service
+// further down their call chain rejects or fails most calls on all of its servers.
+//
+// A request that makes eight calls to a service that rejects 55 % of what arrives succeeds in
+// one of 600 cases without retries. The fleet may retry only a fixed ratio of its calls, so
+// when all requests are admitted, each gets too few retries, and nearly all fail after every
+// service on their way has worked for them. When only as many are admitted as the retries can
+// carry, these succeed whole. The others are refused before any work is spent on them.
+//
+// The number that the retries can carry follows from the share that the service rejects. It is
+// then corrected by what becomes of the admitted requests: the less important a request, the
+// fewer failures are accepted before fewer are admitted, so that more important requests get
+// the retries.
+package berylchain
+
+import (
+	"math"
+	"time"
+
+	"berylspan/core/berylretries"
+	"berylspan/core/berylshedding"
+)
+
+// Gate decides which new requests begin on one backend server. It is not safe for concurrent
+// use.
+type Gate struct {
+	shedding float64 // largest share of arrivals that a service of the fleet rejects or fails
+	kinds    map[kind]*state
+}
+
+// kind is a group of requests with the same chain and importance.
+type kind struct {
+	rule       string
+	importance int
+}
+
+// state holds the admitted share of one kind and the outcomes of the current window.
+type state struct {
+	share         float64 // of the requests that are admitted
+	credit        float64 // of the next admission
+	windowStart   time.Time
+	ended, failed int // requests admitted since the window began that have ended
+}
+
+const (
+	minWindow        = 150 * time.Millisecond
+	longWindow       = 600 * time.Millisecond
+	minEnded         = 5     // requests that must end in a window, unless it is long
+	toleratedFailure = 0.15  // share of the least important requests that may fail before fewer are admitted
+	importanceFactor = 1.6   // multiplies toleratedFailure for each step of importance
+	maxTolerated     = 0.6   // upper bound of the tolerated share
+	largestDecrease  = 0.4   // a decrease multiplies the admitted share by at least this
+	smallestDecrease = 0.9   // a decrease multiplies the admitted share by at most this
+	increaseFactor   = 1.3   // multiplies the admitted share when less than half of the tolerated share fails
+	minShare         = 0.005 // of the requests that are always admitted, to see when more can be
+)
+
+// New returns a gate that admits everything.
+func New() *Gate { return &Gate{kinds: map[kind]*state{}} }
+
+// SetShedding sets the largest share of arrivals that all servers of a service reject or fail.
+// Everything is admitted again when no service sheds any more.
+func (g *Gate) SetShedding(share float64) {
+	g.shedding = share
+	if !g.isShedding() {
+		clear(g.kinds)
+	}
+}
+
+func (g *Gate) isShedding() bool { return g.shedding >= berylshedding.MinShare }
+
+// CarriedShare returns the share of the usual calls to a service that retries can carry while
+// it rejects a share of all arrivals: each call then needs rejected/(1-rejected) retries.
+func CarriedShare(rejected float64) float64 {
+	if rejected <= 0 {
+		return 1
+	}
+	return min(1, berylretries.RejectedRatio*(1-rejected)/rejected)
+}
+
+// Admit reports whether a new request may begin.
+func (g *Gate) Admit(rule string, importance int) bool {
+	s := g.kinds[kind{rule, importance}]
+	if s == nil || s.share >= 1 {
+		return true
+	}
+	if s.credit += s.share; s.credit < 1 {
+		return false
+	}
+	s.credit--
+	return true
+}
+
+// Share returns the share of the requests of a rule and importance that is admitted.
+func (g *Gate) Share(rule string, importance int) float64 {
+	if s := g.kinds[kind{rule, importance}]; s != nil {
+		return s.share
+	}
+	return 1
+}
+
+// Ended records the end of an admitted request. failed is set if its run failed.
+func (g *Gate) Ended(now, started time.Time, rule string, importance int, failed bool) {
+	if !g.isShedding() {
+		return
+	}
+	k := kind{rule, importance}
+	s := g.kinds[k]
+	if s == nil {
+		s = &state{share: 1, windowStart: now}
+		g.kinds[k] = s
+	}
+	if s.share < 1 && started.Before(s.windowStart) {
+		return // It was admitted among others than are now.
+	}
+	s.ended++
+	if failed {
+		s.failed++
+	}
+	if dt := now.Sub(s.windowStart); dt < minWindow || (s.ended < minEnded && dt < longWindow) {
+		return
+	}
+	s.adjust(g.shedding, importance)
+	s.windowStart, s.ended, s.failed = now, 0, 0
+}
+
+// adjust sets the admitted share at the end of a window.
+func (s *state) adjust(shedding float64, importance int) {
+	failed := float64(s.failed) / float64(s.ended)
+	tolerated := min(toleratedFailure*math.Pow(importanceFactor, float64(importance)), maxTolerated)
+	switch {
+	case failed > tolerated && s.share >= 1 && importance == 0:
+		s.share = CarriedShare(shedding)
+	case failed > tolerated:
+		s.share = max(minShare, s.share*min(smallestDecrease, max(largestDecrease, (1-failed)/(1-tolerated))))
+	case failed < tolerated/2:
+		s.share = min(1, s.share*increaseFactor)
+	}
+}
--- a/core/berylretries/budget.go
+++ b/core/berylretries/budget.go
@@ -4,31 +4,113 @@
 // multiplies the load of the services below it. Retries are limited to a fixed
 // ratio of first attempts, so that the ratio over the whole fleet is the same
 // however many instances take part.
+//
+// A call that a backend server rejected has not run, so that its retry multiplies
+// nothing. While all servers of a service reject most of what arrives, such retries
+// are what lets calls through, and they may use more of what the whole fleet may
+// retry, counted over the fleet's window.
 package berylretries
 
+import "time"
+
 // Budget is the retry budget of one service at one instance. It is not safe for
 // concurrent use.
 type Budget struct {
-	tokens float64
+	tokens   float64
+	start    time.Time // of second 0
+	second   int64     // that the newest elements count
+	requests [3 * window / 2]int32
+	retries  [window + 1]int32
 }
 
 const (
 	retryRatio    = 0.07 // retries per first attempt; a third of what the whole fleet may retry
 	maxTokens     = 3.0  // retries that can be saved up
 	initialTokens = 1.0  // retries allowed before the first request
+
+	// RejectedRatio is the number of retries per first attempt, in the fleet's window, that
+	// rejected requests may use. The rest of what the whole fleet may retry is left for the
+	// calls of requests that run again, and for instances whose windows of most requests differ.
+	RejectedRatio = 0.15
+
+	window = 10 // seconds over which the fleet's retries are counted
 )
 
 // New returns the budget of a service to which nothing has been sent yet.
 func New() *Budget { return &Budget{tokens: initialTokens} }
 
 // RecordRequest records the first attempt of a request.
-func (b *Budget) RecordRequest() { b.tokens = min(maxTokens, b.tokens+retryRatio) }
+func (b *Budget) RecordRequest(now time.Time) {
+	b.advance(now)
+	b.requests[b.second%int64(len(b.requests))]++
+	b.tokens = min(maxTokens, b.tokens+retryRatio)
+}
 
 // Take takes one retry from the budget and reports whether there was one.
-func (b *Budget) Take() bool {
+func (b *Budget) Take(now time.Time) bool {
+	b.advance(now)
 	if b.tokens < 1 {
 		return false
 	}
 	b.tokens--
+	b.retries[b.second%int64(len(b.retries))]++
+	return true
+}
+
+// TakeRejected is Take for a request that a backend server has rejected.
+func (b *Budget) TakeRejected(now time.Time) bool {
+	if b.Take(now) {
+		return true
+	}
+	if float64(b.retriesInWindow()+1) > RejectedRatio*float64(b.requestsInWindow()) {
+		return false
+	}
+	b.retries[b.second%int64(len(b.retries))]++
 	return true
 }
+
+// advance clears the elements of the seconds that have begun since the last call.
+func (b *Budget) advance(now time.Time) {
+	if b.start.IsZero() {
+		b.start = now
+	}
+	second := int64(now.Sub(b.start) / time.Second)
+	if second-b.second >= int64(len(b.requests)) {
+		b.requests, b.retries = [len(b.requests)]int32{}, [len(b.retries)]int32{}
+		b.second = second
+	}
+	for b.second < second {
+		b.second++
+		b.requests[b.second%int64(len(b.requests))] = 0
+		b.retries[b.second%int64(len(b.retries))] = 0
+	}
+}
+
+// retriesInWindow returns the retries of the last window, and of up to a second before.
+func (b *Budget) retriesInWindow() int {
+	n := 0
+	for _, c := range b.retries {
+		n += int(c)
+	}
+	return n
+}
+
+// requestsInWindow returns the requests of the last window or of the one half a window
+// before it, whichever has more: while requests are refused because the service rejects
+// most calls, the usual number still counts.
+func (b *Budget) requestsInWindow() int {
+	last, earlier := 0, 0
+	for age := range int64(len(b.requests)) {
+		if age > b.second {
+			break
+		}
+		n := int(b.requests[(b.second-age)%int64(len(b.requests))])
+		if age < window {
+			last += n
+		}
+		if age >= window/2 {
+			earlier += n
+		}
+	}
+	return max(last, earlier)
+}
--- a/core/berylretries/budget_test.go
+++ b/core/berylretries/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -13,10 +14,10 @@
 	const instances, requests = 17, 200
 	retries := 0
 	for range instances {
-		b := New()
+		b, now := New(), time.Unix(0, 0)
 		for range requests {
-			b.RecordRequest()
-			if b.Take() {
+			b.RecordRequest(now)
+			if b.Take(now) {
 				retries++
 			}
 		}
--- /dev/null
+++ b/core/berylshedding/meter.go
@@ -0,0 +1,57 @@
+// Package berylshedding measures how much of what arrives at a backend server it rejects or
+// fails by itself, and how much all servers of a service do.
+//
+// One server that rejects requests is avoided. When all servers of a service reject most of
+// what arrives, there is nowhere to go: every request that makes several calls to the service
+// is likely to fail after all services above have worked for it. The share is known beside each
+// server within a second, and is told to the other instances while it is not 0.
+package berylshedding
+
+import (
+	"math"
+	"time"
+)
+
+// Meter measures the share of arrivals at one backend server that fail. It is not safe for
+// concurrent use.
+type Meter struct {
+	arrivals, failed float64 // decaying counts
+	updated          time.Time
+}
+
+const (
+	decayTime   = 0.3 // seconds, time constant of the counts
+	minArrivals = 3.0 // decayed count below which the share counts as 0
+)
+
+// Record records an arrival and whether the server rejected or failed it.
+func (m *Meter) Record(now time.Time, failed bool) {
+	m.advance(now)
+	m.arrivals++
+	if failed {
+		m.failed++
+	}
+}
+
+// Share returns the share of the latest arrivals that failed. It is 0 while too few arrive, so
+// that requests are then sent to find out.
+func (m *Meter) Share(now time.Time) float64 {
+	m.advance(now)
+	if m.arrivals < minArrivals {
+		return 0
+	}
+	return m.failed / m.arrivals
+}
+
+func (m *Meter) advance(now time.Time) {
+	if dt := now.Sub(m.updated).Seconds(); dt > 0 {
+		decay := math.Exp(-dt / decayTime)
+		m.arrivals *= decay
+		m.failed *= decay
+		m.updated = now
+	}
+}
+
+// MinShare is the mean share over the servers of a service from which on the service counts as
+// shedding. Below it, retries carry all calls within their budget.
+const MinShare = 0.15
--- a/io/berylproxy/check.go
+++ b/io/berylproxy/check.go
@@ -237,7 +237,7 @@
 		}
 		a = p.run(ctx, q)
 		if q.outgoing.Nested {
-			p.CallEnded(time.Since(q.ReceivedAt), q.queueTime)
+			p.CallEnded(time.Since(q.ReceivedAt), q.queueTime, a.Abort || a.Status >= http.StatusInternalServerError)
 		}
 	}
 	a.OmitBody = r.Method == http.MethodHead
--- a/io/berylproxy/proxy.go
+++ b/io/berylproxy/proxy.go
@@ -40,10 +40,10 @@
 	SendRemote func(ctx context.Context, addr string, r *berylrequest.Request) *berylreply.Reply
 
 	// CallStarted and CallEnded are called at the start and end of each nested call.
-	// took is its duration, waited the part of that spent in queues. CallRank returns
-	// the rank of a nested call.
+	// took is its duration, waited the part of that spent in queues, failed whether it got no
+	// answer or an error. CallRank returns the rank of a nested call.
 	CallStarted func(rule string)
-	CallEnded   func(took, waited time.Duration)
+	CallEnded   func(took, waited time.Duration, failed bool)
 	CallRank    func(rule string) int
 
 	// CheckSuspect reports whether a request may run as a trial only, because backend servers
@@ -63,7 +63,8 @@
 	timeLimits   map[string]*beryltimelimit.Estimator // of root requests, by rule
 	peers        map[string]berylgossip.Peer
 	remoteSends  map[*remoteSend]struct{}
-	fleetSize    int // instances that take requests
+	fleetSize    int                // instances that take requests
+	shedding     map[string]float64 // share of arrivals that all servers of a service reject or fail, by service; nil while none does
 }
 
 // remoteSend is an attempt at another instance that has not ended.
@@ -117,6 +118,7 @@
 		}
 	}
 	p.fleetSize = len(hosts)
+	p.updateShedding(now, state)
 	for send := range p.remoteSends {
 		if peer, ok := p.peers[send.host]; ok && p.isSilent(now, peer) {
 			send.cancel()
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -33,6 +33,9 @@
 	retryAfter   time.Duration     // shortest time until an overloaded instance may have room
 	overloaded   bool              // an attempt was refused, or an instance passed over, because of overload
 	quarantined  bool              // servers ended while they ran the request, and no trial is possible now
+	shed         bool              // an instance refused it because a service that it would call sheds
+	rejected     []string          // IDs of the backend servers that rejected it
+	again        bool              // only servers that rejected it may be tried
 }
 
 // run sends a request to instances until one answers or no further attempt is allowed.
@@ -45,7 +48,7 @@
 	ctx, limit := beryltimelimit.New(parent, q.outgoing.Deadline)
 	st := &attemptState{tried: map[string]bool{}}
 	p.recordForBudget(q.outgoing.Service)
-	for q.attempts < maxInstancesTried && ctx.Err() == nil {
+	for q.attempts < maxInstancesTried+len(st.rejected) && ctx.Err() == nil {
 		if p.checkQuarantine(q, st); st.quarantined {
 			break
 		}
@@ -90,7 +93,7 @@
 // retryAnswered reports whether to retry a request that was answered with an error. The
 // answer is then kept in case no retry succeeds.
 func (p *Proxy) retryAnswered(ctx context.Context, q *request, st *attemptState, reply *berylreply.Reply) bool {
-	if !reply.Outcome.MayRetry(q.rule.Idempotent, reply.Status) || reply.Stream != nil || !q.canRepeat() || !p.takeRetry(ctx, q, st) {
+	if !reply.Outcome.MayRetry(q.rule.Idempotent, reply.Status) || reply.Stream != nil || !q.canRepeat() || p.failedBelow(q) || !p.takeRetry(ctx, q, st) {
 		return false
 	}
 	st.failedAnswer = reply
@@ -117,7 +120,13 @@
 				return false // A trial may be running there.
 			}
 		}
+		if reply.Reason == berylreply.ReasonShedding {
+			st.shed = true
+			return false // Other instances know the same.
+		}
 		return reply.Reason != berylreply.ReasonExpired && q.canRepeat()
+	case berylattempt.Rejected:
+		return q.canRepeat() && p.takeRejectedRetry(ctx, q, st)
 	case berylattempt.Unknown:
 		st.maybeRan = true
 	}
@@ -152,13 +161,13 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.retryBudget(q.outgoing.Service).Take()
+	return p.retryBudget(q.outgoing.Service).Take(time.Now())
 }
 
 func (p *Proxy) recordForBudget(service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.retryBudget(service).RecordRequest()
+	p.retryBudget(service).RecordRequest(time.Now())
 }
 
 func (p *Proxy) retryBudget(service string) *berylretries.Budget {
@@ -185,7 +194,7 @@
 		c := p.tracker.Candidate(now, entry.ID, q.rule.Name, entry.Slots)
 		c.OtherZone = entry.Zone != p.Zone
 		c.Cold = entry.Warm > 0
-		c.Excluded = st.tried[entry.ID] || entry.Leaving || p.tracker.Status(entry.ID, entry.Born).Leaving
+		c.Excluded = st.excludes(entry.ID) || entry.Leaving || p.tracker.Status(entry.ID, entry.Born).Leaving
 		throttled = throttled || (c.Throttled && !q.outgoing.Nested)
 		host := entry.Host()
 		if peer, ok := p.peers[host]; ok && host != p.Host {
@@ -339,6 +348,8 @@
 		return p.refuse(q, http.StatusBadGateway, q.reason, 0)
 	case q.attempts == 0 && !st.overloaded && !stopping:
 		return p.refuse(q, http.StatusServiceUnavailable, reasonNoInstance, retryDelay(q, 0))
+	case st.shed:
+		return p.refuse(q, http.StatusServiceUnavailable, berylreply.ReasonShedding, sheddingDelay(q))
 	case st.overloaded:
 		q.queueTime = time.Since(q.ReceivedAt) + refusedCallWait
 		if q.reason == "" {
--- /dev/null
+++ b/io/berylproxy/shedding.go
@@ -0,0 +1,89 @@
+package berylproxy
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"berylspan/core/berylbackoff"
+	"berylspan/core/berylshedding"
+	"berylspan/io/berylstorecache"
+)
+
+// maxRejections is how often backend servers may reject a request before it is refused. Of calls
+// to servers that reject 55 % of what arrives, 1 % is rejected as often.
+const maxRejections = 8
+
+// excludes reports whether a server is not to be tried for the request.
+func (st *attemptState) excludes(id string) bool {
+	if st.again {
+		return !slices.Contains(st.rejected, id)
+	}
+	return st.tried[id]
+}
+
+// takeRejectedRetry is takeRetry for a request that a backend server has rejected. After as
+// many servers as the rule allows, it goes once more to one of those that rejected it.
+func (p *Proxy) takeRejectedRetry(ctx context.Context, q *request, st *attemptState) bool {
+	st.arrivals++
+	st.rejected = append(st.rejected, q.serverID)
+	if ctx.Err() != nil || len(st.rejected) >= maxRejections || time.Until(q.outgoing.Deadline) < minTimeForRetry {
+		return false
+	}
+	st.again = st.arrivals >= max(q.rule.MaxAttempts, 1) || len(st.tried) >= len(p.State().ServersByService[q.outgoing.Service])
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retryBudget(q.outgoing.Service).TakeRejected(time.Now())
+}
+
+// failedBelow reports whether a failed request is likely to have failed because of a service
+// further down its chain that sheds. To run it again would repeat all of its calls there.
+func (p *Proxy) failedBelow(q *request) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, own := p.shedding[q.outgoing.Service]
+	return len(p.shedding) > 0 && !own
+}
+
+// updateShedding determines which services shed, from what the instances beside their servers
+// tell. The caller holds the lock.
+func (p *Proxy) updateShedding(now time.Time, state *berylstorecache.State) {
+	p.shedding = nil
+	for service, list := range state.ServersByService {
+		sum, n := 0, 0
+		for _, entry := range list {
+			peer, known := p.peers[entry.Host()]
+			if !known || entry.Leaving || now.Sub(peer.LastSeen) > PeerTimeout {
+				continue
+			}
+			sum += int(peer.Heartbeat.Shedding)
+			n++
+		}
+		if n == 0 || float64(sum) < berylshedding.MinShare*100*float64(n) {
+			continue
+		}
+		if p.shedding == nil {
+			p.shedding = map[string]float64{}
+		}
+		p.shedding[service] = float64(sum) / 100 / float64(n)
+	}
+}
+
+// Shedding returns the largest share of arrivals that a service rejects or fails on all its
+// servers, and the service. It is 0 while no service sheds.
+func (p *Proxy) Shedding() (service string, share float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for s, v := range p.shedding {
+		if v > share {
+			service, share = s, v
+		}
+	}
+	return service, share
+}
+
+// sheddingDelay returns the Retry-After time of a request whose chain cannot succeed while a
+// service below sheds.
+func sheddingDelay(q *request) time.Duration {
+	return berylbackoff.LateDelay(time.Until(q.outgoing.TargetTime), time.Until(q.outgoing.Deadline), random())
+}
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -13,11 +13,13 @@
 	"berylspan/core/beryladmission"
 	"berylspan/core/berylattempt"
 	"berylspan/core/berylcallgraph"
+	"berylspan/core/berylchain"
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylinflight"
 	"berylspan/core/beryllifetime"
 	"berylspan/core/berylregistration"
 	"berylspan/core/berylserverstatus"
+	"berylspan/core/berylshedding"
 	"berylspan/io/berylconnpool"
 	"berylspan/io/berylpanic"
 	"berylspan/io/berylreply"
@@ -42,6 +44,9 @@
 	admission      *beryladmission.Controller[*waiter]
 	callGraph      *berylcallgraph.Estimator
 	limiter        *berylinflight.Limiter // of new requests while the services that they call are overloaded
+	gate           *berylchain.Gate       // of new requests while a service further down their chain sheds
+	shedding       berylshedding.Meter    // of the backend server
+	callFailures   berylshedding.Meter    // of the nested calls that the backend server makes
 	running        map[string]int         // requests, by rule
 	ranks          map[string]int         // rank of the latest request, by rule
 	slots          int
@@ -100,6 +105,7 @@
 		admission:      beryladmission.New[*waiter](initialLimit),
 		callGraph:      berylcallgraph.New(),
 		limiter:        berylinflight.New(),
+		gate:           berylchain.New(),
 		running:        map[string]int{},
 		ranks:          map[string]int{},
 	}
@@ -168,6 +174,9 @@
 	if reply == nil {
 		reply = r.checkThrottle(req)
 	}
+	if reply == nil {
+		reply = r.checkShedding(req)
+	}
 	if reply == nil {
 		admissionRequest := beryladmission.Request{Rank: req.Rank, Nested: req.Nested, Kind: req.Rule, TimeToDeadline: req.Deadline.Sub(start), TimeToTarget: req.TargetTime.Sub(start)}
 		reply = r.acquireSlot(ctx, admissionRequest)
@@ -338,6 +347,7 @@
 		OnHeader: func(h http.Header) { r.recordHeader(f, h) },
 		OnBroken: func() { r.recordBroken(f) }, OnAnswered: func() { r.onAnswered(req) },
 	}, onDone)
+	r.recordOutcome(ctx, req, start, reply)
 	if !req.Nested {
 		r.recordEnd(ctx, req, reply)
 	}
--- a/io/berylrunner/runner_test.go
+++ b/io/berylrunner/runner_test.go
@@ -57,7 +57,7 @@
 	for worker := range 10 {
 		wg.Go(func() {
 			for i := range 40 {
-				r.CallEnded(30*time.Millisecond, 30*time.Millisecond)
+				r.CallEnded(30*time.Millisecond, 30*time.Millisecond, false)
 				reply := r.Run(context.Background(), newRequest(worker*100+i, "fail", false))
 				mu.Lock()
 				if reply.Reason == berylreply.ReasonThrottled && reply.Outcome == berylattempt.Unsent {
--- /dev/null
+++ b/io/berylrunner/shedding.go
@@ -0,0 +1,54 @@
+package berylrunner
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"berylspan/core/berylattempt"
+	"berylspan/io/berylreply"
+	"berylspan/io/berylrequest"
+)
+
+// SetShedding sets the largest share of arrivals that a service of the fleet rejects or fails
+// on all its servers.
+func (r *Runner) SetShedding(share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gate.SetShedding(share)
+}
+
+// Shedding returns the share of the latest arrivals that the backend server rejected or failed
+// by itself.
+func (r *Runner) Shedding() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.shedding.Share(time.Now())
+}
+
+// checkShedding refuses a new request whose chain would need retries that the services below
+// do not have.
+func (r *Runner) checkShedding(req *berylrequest.Request) *berylreply.Reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if req.Nested || r.gate.Admit(req.Rule, req.Importance) {
+		return nil
+	}
+	return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonShedding)
+}
+
+// recordOutcome records whether the server rejected or failed a request that was sent at
+// start. A failure while nested calls fail is not the server's own.
+func (r *Runner) recordOutcome(ctx context.Context, req *berylrequest.Request, start time.Time, reply *berylreply.Reply) {
+	rejected := reply.Outcome == berylattempt.Rejected
+	failed := reply.Outcome == berylattempt.Answered && reply.Status >= http.StatusInternalServerError && ctx.Err() == nil
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rejected || reply.Outcome == berylattempt.Answered {
+		r.shedding.Record(now, rejected || (failed && r.callFailures.Share(now) == 0))
+	}
+	if !req.Nested && reply.Outcome == berylattempt.Answered {
+		r.gate.Ended(now, start, req.Rule, req.Importance, failed)
+	}
+}
--- a/io/berylrunner/throttle.go
+++ b/io/berylrunner/throttle.go
@@ -18,12 +18,13 @@
 	r.callGraph.CallMade(time.Now(), rule)
 }
 
-// CallEnded records how long a nested call of the backend server took, and how much of
-// that it waited in queues.
-func (r *Runner) CallEnded(took, waited time.Duration) {
+// CallEnded records how long a nested call of the backend server took, how much of that it
+// waited in queues, and whether it failed.
+func (r *Runner) CallEnded(took, waited time.Duration, failed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.limiter.RecordCall(took, waited)
+	r.callFailures.Record(time.Now(), failed)
 }
 
 // CallRank returns the rank of a nested call: the rank of the most important rule that
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -49,6 +50,7 @@
 		case <-t.C:
 			s.guard.Run("heartbeat", func() {
 				s.look()
+				s.updateShedding()
 				s.mesh.EvictIdle()
 				s.beside.EvictIdle()
 				s.say(false)
@@ -102,6 +104,7 @@
 		w.ServerID = own.ID
 	}
 	w.Busy, w.Limit = s.beside.Load()
+	w.Shedding = uint8(math.Round(100 * s.beside.Shedding()))
 	near, far, large := s.hosts(all, int(s.turn.Add(1)))
 	err := s.gossip.SendHeartbeat(near, w)
 	if !large && err == nil {
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -59,6 +59,8 @@
 	meter *meter
 	guard *berylpanic.Guard
 
+	sheddingService string // that sheds most, "" while none does; only beat uses it
+
 	udp     *net.UDPConn
 	puller  *http.Client
 	servers []*http.Server
@@ -94,7 +96,7 @@
 		RunLocal:    s.run,
 		SendRemote:  s.mesh.Send,
 		CallStarted: func(rule string) { s.beside.CallStarted(rule) },
-		CallEnded:   func(took, waited time.Duration) { s.beside.CallEnded(took, waited) },
+		CallEnded:   func(took, waited time.Duration, failed bool) { s.beside.CallEnded(took, waited, failed) },
 		CallRank:    func(rule string) int { return s.beside.CallRank(rule) },
 		Quotas:      s.quotas,
 		Log:         log,
