--- a/core/berylchain/gate.go
+++ b/core/berylchain/gate.go
@@ -24,7 +24,8 @@
 // Gate decides which new requests begin on one backend server. It is not safe for concurrent
 // use.
 type Gate struct {
-	shedding float64 // largest share of arrivals that a service of the fleet rejects or fails
+	shedding float64   // largest share of arrivals that a service of the fleet rejects or fails
+	since    time.Time // when that became known
 	kinds    map[kind]*state
 }
 
@@ -43,6 +44,7 @@
 }
 
 const (
+	stepDelay        = 300 * time.Millisecond // by which more important requests are limited later for each step of importance
 	minWindow        = 150 * time.Millisecond
 	longWindow       = 600 * time.Millisecond
 	minEnded         = 5     // requests that must end in a window, unless it is long
@@ -60,10 +62,14 @@
 
 // SetShedding sets the largest share of arrivals that all servers of a service reject or fail.
 // Everything is admitted again when no service sheds any more.
-func (g *Gate) SetShedding(share float64) {
+func (g *Gate) SetShedding(now time.Time, share float64) {
+	before := g.isShedding()
 	g.shedding = share
-	if !g.isShedding() {
+	switch {
+	case !g.isShedding():
 		clear(g.kinds)
+	case !before:
+		g.since = now
 	}
 }
 
@@ -101,7 +107,7 @@
 
 // Ended records the end of an admitted request. failed is set if its run failed.
 func (g *Gate) Ended(now, started time.Time, rule string, importance int, failed bool) {
-	if !g.isShedding() {
+	if !g.isShedding() || now.Sub(g.since) < time.Duration(importance)*stepDelay {
 		return
 	}
 	k := kind{rule, importance}
@@ -120,19 +126,24 @@
 	if dt := now.Sub(s.windowStart); dt < minWindow || (s.ended < minEnded && dt < longWindow) {
 		return
 	}
-	s.adjust(g.shedding, importance)
+	s.adjust(CarriedShare(g.shedding), importance)
 	s.windowStart, s.ended, s.failed = now, 0, 0
 }
 
-// adjust sets the admitted share at the end of a window.
-func (s *state) adjust(shedding float64, importance int) {
+// adjust sets the admitted share at the end of a window. carried is the share that could be
+// admitted if it were the same for all requests.
+func (s *state) adjust(carried float64, importance int) {
 	failed := float64(s.failed) / float64(s.ended)
 	tolerated := min(toleratedFailure*math.Pow(importanceFactor, float64(importance)), maxTolerated)
+	least := minShare
+	if importance > 0 {
+		least = max(minShare, carried)
+	}
 	switch {
 	case failed > tolerated && s.share >= 1 && importance == 0:
-		s.share = CarriedShare(shedding)
+		s.share = max(least, carried)
 	case failed > tolerated:
-		s.share = max(minShare, s.share*min(smallestDecrease, max(largestDecrease, (1-failed)/(1-tolerated))))
+		s.share = max(least, s.share*min(smallestDecrease, max(largestDecrease, (1-failed)/(1-tolerated))))
 	case failed < tolerated/2:
 		s.share = min(1, s.share*increaseFactor)
 	}
--- a/core/berylretries/budget.go
+++ b/core/berylretries/budget.go
@@ -8,7 +8,8 @@
 // A call that a backend server rejected has not run, so that its retry multiplies
 // nothing. While all servers of a service reject most of what arrives, such retries
 // are what lets calls through, and they may use more of what the whole fleet may
-// retry, counted over the fleet's window.
+// retry, counted over the fleet's window. They are spread over the window: those of the first
+// second would otherwise leave nothing for the requests of the others.
 package berylretries
 
 import "time"
@@ -21,6 +22,8 @@
 	second   int64     // that the newest elements count
 	requests [3 * window / 2]int32
 	retries  [window + 1]int32
+	paced    float64 // retries of rejected requests that are due
+	pacedAt  time.Time
 }
 
 const (
@@ -33,7 +36,8 @@
 	// calls of requests that run again, and for instances whose windows of most requests differ.
 	RejectedRatio = 0.15
 
-	window = 10 // seconds over which the fleet's retries are counted
+	window   = 10  // seconds over which the fleet's retries are counted
+	maxBurst = 0.3 // seconds' worth of retries of rejected requests that can be saved up
 )
 
 // New returns the budget of a service to which nothing has been sent yet.
@@ -62,9 +66,14 @@
 	if b.Take(now) {
 		return true
 	}
-	if float64(b.retriesInWindow()+1) > RejectedRatio*float64(b.requestsInWindow()) {
+	allowed := RejectedRatio * float64(b.requestsInWindow())
+	rate := allowed / window
+	b.paced = min(b.paced+rate*max(0, now.Sub(b.pacedAt).Seconds()), max(1, rate*maxBurst))
+	b.pacedAt = now
+	if b.paced < 1 || float64(b.retriesInWindow()+1) > allowed {
 		return false
 	}
+	b.paced--
 	b.retries[b.second%int64(len(b.retries))]++
 	return true
 }
--- a/io/berylrunner/shedding.go
+++ b/io/berylrunner/shedding.go
@@ -15,7 +15,7 @@
 func (r *Runner) SetShedding(share float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.gate.SetShedding(share)
+	r.gate.SetShedding(time.Now(), share)
 }
 
 // Shedding returns the share of the latest arrivals that the backend server rejected or failed
