--- a/core/berylchain/gate.go
+++ b/core/berylchain/gate.go
@@ -48,8 +48,8 @@
 	minWindow        = 150 * time.Millisecond
 	longWindow       = 600 * time.Millisecond
 	minEnded         = 5     // requests that must end in a window, unless it is long
-	toleratedFailure = 0.15  // share of the least important requests that may fail before fewer are admitted
-	importanceFactor = 1.6   // multiplies toleratedFailure for each step of importance
+	toleratedFailure = 0.1  // share of the least important requests that may fail before fewer are admitted
+	importanceFactor = 2.0   // multiplies toleratedFailure for each step of importance
 	maxTolerated     = 0.6   // upper bound of the tolerated share
 	largestDecrease  = 0.4   // a decrease multiplies the admitted share by at least this
 	smallestDecrease = 0.9   // a decrease multiplies the admitted share by at most this
--- a/core/berylretries/budget.go
+++ b/core/berylretries/budget.go
@@ -20,7 +20,7 @@
 	tokens   float64
 	start    time.Time // of second 0
 	second   int64     // that the newest elements count
-	requests [3 * window / 2]int32
+	requests [2 * window]int32
 	retries  [window + 1]int32
 	paced    float64 // retries of rejected requests that are due
 	pacedAt  time.Time
@@ -66,10 +66,7 @@
 	if b.Take(now) {
 		return true
 	}
-	allowed := RejectedRatio * float64(b.requestsInWindow())
-	rate := allowed / window
-	b.paced = min(b.paced+rate*max(0, now.Sub(b.pacedAt).Seconds()), max(1, rate*maxBurst))
-	b.pacedAt = now
+	allowed, _ := b.pace(now)
 	if b.paced < 1 || float64(b.retriesInWindow()+1) > allowed {
 		return false
 	}
@@ -78,6 +75,17 @@
 	return true
 }
 
+// pace adds the retries of rejected requests that have become due. It returns the number
+// allowed in a window and the largest number that can be due.
+func (b *Budget) pace(now time.Time) (allowed, largest float64) {
+	allowed = RejectedRatio * float64(b.requestsInWindow())
+	rate := allowed / window
+	largest = max(1, rate*maxBurst)
+	b.paced = min(b.paced+rate*max(0, now.Sub(b.pacedAt).Seconds()), largest)
+	b.pacedAt = now
+	return allowed, largest
+}
+
 // advance clears the elements of the seconds that have begun since the last call.
 func (b *Budget) advance(now time.Time) {
 	if b.start.IsZero() {
@@ -104,11 +112,11 @@
 	return n
 }
 
-// requestsInWindow returns the requests of the last window or of the one half a window
-// before it, whichever has more: while requests are refused because the service rejects
+// requestsInWindow returns the requests of the last window, of the one before it or of the one
+// half a window before it, whichever has most: while requests are refused because the service rejects
 // most calls, the usual number still counts.
 func (b *Budget) requestsInWindow() int {
-	last, earlier := 0, 0
+	last, half, before := 0, 0, 0
 	for age := range int64(len(b.requests)) {
 		if age > b.second {
 			break
@@ -116,10 +124,12 @@
 		n := int(b.requests[(b.second-age)%int64(len(b.requests))])
 		if age < window {
 			last += n
+		} else {
+			before += n
 		}
-		if age >= window/2 {
-			earlier += n
+		if age >= window/2 && age < window+window/2 {
+			half += n
 		}
 	}
-	return max(last, earlier)
+	return max(last, half, before)
 }
