--- a/core/berylchain/gate.go
+++ b/core/berylchain/gate.go
@@ -48,7 +48,8 @@
 	minWindow        = 150 * time.Millisecond
 	longWindow       = 600 * time.Millisecond
 	minEnded         = 5     // requests that must end in a window, unless it is long
-	toleratedFailure = 0.1  // share of the least important requests that may fail before fewer are admitted
+	minFailed        = 2     // requests that must fail in a window before any is refused
+	toleratedFailure = 0.1   // share of the least important requests that may fail before fewer are admitted
 	importanceFactor = 2.0   // multiplies toleratedFailure for each step of importance
 	maxTolerated     = 0.6   // upper bound of the tolerated share
 	largestDecrease  = 0.4   // a decrease multiplies the admitted share by at least this
@@ -140,6 +141,7 @@
 		least = max(minShare, carried)
 	}
 	switch {
+	case s.share >= 1 && s.failed < minFailed: // They may have failed by themselves.
 	case failed > tolerated && s.share >= 1 && importance == 0:
 		s.share = max(least, carried)
 	case failed > tolerated:
--- a/io/berylrunner/shedding.go
+++ b/io/berylrunner/shedding.go
@@ -48,7 +48,7 @@
 	if rejected || reply.Outcome == berylattempt.Answered {
 		r.shedding.Record(now, rejected || (failed && r.callFailures.Share(now) == 0))
 	}
-	if !req.Nested && reply.Outcome == berylattempt.Answered {
+	if !req.Nested && reply.Outcome == berylattempt.Answered && len(r.callGraph.CallsOf(req.Rule)) > 0 {
 		r.gate.Ended(now, start, req.Rule, req.Importance, failed)
 	}
 }
