--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -126,7 +126,9 @@
 		}
 		return reply.Reason != berylreply.ReasonExpired && q.canRepeat()
 	case berylattempt.Rejected:
-		return q.canRepeat() && p.takeRejectedRetry(ctx, q, st)
+		if reply.Reason == berylreply.ReasonRejected && p.sheds(q.outgoing.Service) {
+			return q.canRepeat() && p.takeRejectedRetry(ctx, q, st)
+		}
 	case berylattempt.Unknown:
 		st.maybeRan = true
 	}
--- a/io/berylproxy/shedding.go
+++ b/io/berylproxy/shedding.go
@@ -22,8 +22,17 @@
 	return st.tried[id]
 }
 
-// takeRejectedRetry is takeRetry for a request that a backend server has rejected. After as
-// many servers as the rule allows, it goes once more to one of those that rejected it.
+// sheds reports whether all servers of a service together reject or fail much of what arrives.
+func (p *Proxy) sheds(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, ok := p.shedding[service]
+	return ok
+}
+
+// takeRejectedRetry is takeRetry for a request that a server of a service that sheds has
+// rejected. After as many servers as the rule allows, it goes once more to one of those that
+// rejected it.
 func (p *Proxy) takeRejectedRetry(ctx context.Context, q *request, st *attemptState) bool {
 	st.arrivals++
 	st.rejected = append(st.rejected, q.serverID)
