--- a/core/berylretries/budget.go
+++ b/core/berylretries/budget.go
@@ -34,9 +34,10 @@
 	// RejectedRatio is the number of retries per first attempt, in the fleet's window, that
 	// rejected requests may use. The rest of what the whole fleet may retry is left for the
 	// calls of requests that run again, and for instances whose windows of most requests differ.
-	RejectedRatio = 0.15
+	RejectedRatio = 0.16
 
 	window   = 10  // seconds over which the fleet's retries are counted
+	spread   = 8   // seconds over which the retries of rejected requests are spread, so that all are used before the first leave the window
 	maxBurst = 0.3 // seconds' worth of retries of rejected requests that can be saved up
 )
 
@@ -79,7 +80,7 @@
 // allowed in a window and the largest number that can be due.
 func (b *Budget) pace(now time.Time) (allowed, largest float64) {
 	allowed = RejectedRatio * float64(b.requestsInWindow())
-	rate := allowed / window
+	rate := allowed / spread
 	largest = max(1, rate*maxBurst)
 	b.paced = min(b.paced+rate*max(0, now.Sub(b.pacedAt).Seconds()), largest)
 	b.pacedAt = now
--- a/core/berylshedding/meter.go
+++ b/core/berylshedding/meter.go
@@ -17,11 +17,15 @@
 type Meter struct {
 	arrivals, failed float64 // decaying counts
 	updated          time.Time
+	told             bool      // whether Changed last reported shedding
+	toldAt           time.Time // when that was
 }
 
 const (
 	decayTime   = 0.3 // seconds, time constant of the counts
 	minArrivals = 3.0 // decayed count below which the share counts as 0
+
+	minTellInterval = time.Second // between two changes that are told
 )
 
 // Record records an arrival and whether the server rejected or failed it.
@@ -43,6 +47,17 @@
 	return m.failed / m.arrivals
 }
 
+// Changed reports whether the share has passed MinShare since it last did, and a short while has
+// gone by. The change should then be told.
+func (m *Meter) Changed(now time.Time) bool {
+	sheds := m.Share(now) >= MinShare
+	if sheds == m.told || (!m.toldAt.IsZero() && now.Sub(m.toldAt) < minTellInterval) {
+		return false
+	}
+	m.told, m.toldAt = sheds, now
+	return true
+}
+
 func (m *Meter) advance(now time.Time) {
 	if dt := now.Sub(m.updated).Seconds(); dt > 0 {
 		decay := math.Exp(-dt / decayTime)
--- a/core/berylshedding/meter_test.go
+++ b/core/berylshedding/meter_test.go
@@ -27,6 +27,33 @@
 	require.Less(t, m.Share(now), MinShare, "0.5 s after it ended")
 }
 
+func TestChangesAreToldOnceAndNotOften(t *testing.T) {
+	var m Meter
+	now := time.Unix(0, 0)
+	told := 0
+	play := func(d time.Duration, failed bool) {
+		for end := now.Add(d); now.Before(end); now = now.Add(5 * time.Millisecond) {
+			m.Record(now, failed)
+			if m.Changed(now) {
+				told++
+			}
+		}
+	}
+	play(time.Second, false)
+	require.Zero(t, told)
+	play(100*time.Millisecond, true)
+	require.Equal(t, 1, told, "within 0.1 s")
+	play(2*time.Second, true)
+	require.Equal(t, 1, told)
+	play(time.Second, false)
+	require.Equal(t, 2, told)
+	for range 20 {
+		play(100*time.Millisecond, true)
+		play(400*time.Millisecond, false)
+	}
+	require.LessOrEqual(t, told, 2+11, "one a second")
+}
+
 func TestServerThatGetsTooFewArrivalsCountsAsSound(t *testing.T) {
 	var m Meter
 	now := time.Unix(0, 0)
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -36,6 +36,7 @@
 	onServerStatus func(serverID string, status berylserverstatus.Status, err error)
 	onServerEnd    func(berylserverend.ServerEnd)
 	onAnswered     func(req *berylrequest.Request)
+	onShedding     func()
 	checkSuspect   func(req *berylrequest.Request) (suspect bool, wait time.Duration)
 
 	mu             sync.Mutex
@@ -100,6 +101,7 @@
 		onServerStatus: func(string, berylserverstatus.Status, error) {},
 		onServerEnd:    func(berylserverend.ServerEnd) {},
 		onAnswered:     func(*berylrequest.Request) {},
+		onShedding:     func() {},
 		checkSuspect:   func(*berylrequest.Request) (bool, time.Duration) { return false, 0 },
 		flights:        map[*flight]struct{}{},
 		admission:      beryladmission.New[*waiter](initialLimit),
--- a/io/berylrunner/shedding.go
+++ b/io/berylrunner/shedding.go
@@ -10,6 +10,10 @@
 	"berylspan/io/berylrequest"
 )
 
+// OnShedding sets a function that is called, on a goroutine of its own, when the backend server
+// begins or ceases to reject or fail much of what arrives.
+func OnShedding(f func()) func(*Runner) { return func(r *Runner) { r.onShedding = f } }
+
 // SetShedding sets the largest share of arrivals that a service of the fleet rejects or fails
 // on all its servers.
 func (r *Runner) SetShedding(share float64) {
@@ -47,6 +51,9 @@
 	defer r.mu.Unlock()
 	if rejected || reply.Outcome == berylattempt.Answered {
 		r.shedding.Record(now, rejected || (failed && r.callFailures.Share(now) == 0))
+		if r.shedding.Changed(now) {
+			go r.guard("shedding", r.onShedding)
+		}
 	}
 	if !req.Nested && reply.Outcome == berylattempt.Answered && len(r.callGraph.CallsOf(req.Rule)) > 0 {
 		r.gate.Ended(now, start, req.Rule, req.Importance, failed)
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -239,6 +239,7 @@
 // hear returns what is done with a word.
 func (s *Sidecar) hear(ctx context.Context) func(host string, w berylgossip.Heartbeat) {
 	return func(host string, w berylgossip.Heartbeat) {
+		s.hearShedding(host, w)
 		if w.ConfigVersion == 0 {
 			return
 		}
--- a/io/berylsidecar/shedding.go
+++ b/io/berylsidecar/shedding.go
@@ -1,10 +1,36 @@
 package berylsidecar
 
+import (
+	"berylspan/core/berylshedding"
+	"berylspan/io/berylgossip"
+)
+
+// hearShedding looks at once at what others told when the server of one begins or ceases to
+// shed.
+func (s *Sidecar) hearShedding(host string, w berylgossip.Heartbeat) {
+	sheds := float64(w.Shedding)/100 >= berylshedding.MinShare
+	if !sheds && !s.sheds(host) {
+		return
+	}
+	before, _ := s.sheddingServers.Swap(host, sheds)
+	if before != sheds {
+		s.enter.UpdatePeers(s.gossip.Peers())
+		s.updateShedding()
+	}
+}
+
+func (s *Sidecar) sheds(host string) bool {
+	sheds, _ := s.sheddingServers.Load(host)
+	return sheds == true
+}
+
 // updateShedding tells the runner how much a service of the fleet sheds, and logs when that
 // begins and ends.
 func (s *Sidecar) updateShedding() {
 	service, share := s.enter.Shedding()
 	s.beside.SetShedding(share)
+	s.sheddingMu.Lock()
+	defer s.sheddingMu.Unlock()
 	if service == s.sheddingService {
 		return
 	}
