--- a/core/berylchain/gate.go
+++ b/core/berylchain/gate.go
@@ -136,10 +136,7 @@
 func (s *state) adjust(carried float64, importance int) {
 	failed := float64(s.failed) / float64(s.ended)
 	tolerated := min(toleratedFailure*math.Pow(importanceFactor, float64(importance)), maxTolerated)
-	least := minShare
-	if importance > 0 {
-		least = max(minShare, carried)
-	}
+	least := max(minShare, carried*(1-math.Exp2(-float64(importance))))
 	switch {
 	case s.share >= 1 && s.failed < minFailed: // They may have failed by themselves.
 	case failed > tolerated && s.share >= 1 && importance == 0:
