--- a/core/berylchain/gate.go
+++ b/core/berylchain/gate.go
@@ -7,8 +7,8 @@
 // service on their way has worked for them. When only as many are admitted as the retries can
 // carry, these succeed whole. The others are refused before any work is spent on them.
 //
-// The number that the retries can carry follows from the share that the service rejects. It is
-// then corrected by what becomes of the admitted requests: the less important a request, the
+// The number that the retries can carry follows from the share that the service rejects. The
+// least important requests start with a part of it. The number is then corrected by what becomes of the admitted requests: the less important a request, the
 // fewer failures are accepted before fewer are admitted, so that more important requests get
 // the retries.
 package berylchain
@@ -52,6 +52,7 @@
 	toleratedFailure = 0.1   // share of the least important requests that may fail before fewer are admitted
 	importanceFactor = 2.0   // multiplies toleratedFailure for each step of importance
 	maxTolerated     = 0.6   // upper bound of the tolerated share
+	startShare       = 0.125 // part of the carried share that the least important requests start with; more important ones, which are not known here, may need the rest
 	largestDecrease  = 0.4   // a decrease multiplies the admitted share by at least this
 	smallestDecrease = 0.9   // a decrease multiplies the admitted share by at most this
 	increaseFactor   = 1.3   // multiplies the admitted share when less than half of the tolerated share fails
@@ -140,7 +141,7 @@
 	switch {
 	case s.share >= 1 && s.failed < minFailed: // They may have failed by themselves.
 	case failed > tolerated && s.share >= 1 && importance == 0:
-		s.share = max(least, carried)
+		s.share = max(least, carried*startShare)
 	case failed > tolerated:
 		s.share = max(least, s.share*min(smallestDecrease, max(largestDecrease, (1-failed)/(1-tolerated))))
 	case failed < tolerated/2:
--- a/core/berylchain/gate_test.go
+++ b/core/berylchain/gate_test.go
@@ -132,9 +132,9 @@
 	after, vain := worth(out)
 	t.Logf("worth served %.2f without the gate, %.2f with it; runs in vain %d and %d; %+v", before, after, vainBefore, vain, out)
 	require.Less(t, before, 0.12)
-	require.Greater(t, after, 0.25)
+	require.Greater(t, after, 0.3)
 	require.Less(t, vain, vainBefore/4)
-	require.Greater(t, float64(out["confirm"].whole), 0.45*float64(out["confirm"].asked))
+	require.Greater(t, float64(out["confirm"].whole), 0.6*float64(out["confirm"].asked))
 }
 
 func TestNothingIsRefusedWhenRetriesCarryAll(t *testing.T) {
