Let rejected calls wait a moment for their retry

Without a retry at that moment a chain failed with all calls that it had made. Errors of a server with nested calls count as its own while fewer than 5 % of its calls fail; before, a single failed call hid them for good.

--- a/core/berylchain/gate_test.go
+++ b/core/berylchain/gate_test.go
@@ -96,7 +96,7 @@
 		}
 		budget.RecordRequest(now)
 		for tries := 1; rng.Float64() < rejected; tries++ {
-			if tries == 8 || !budget.TakeRejected(now) {
+			if _, ok := budget.TakeRejected(now, 80*time.Millisecond); !ok || tries == 8 {
 				return false
 			}
 		}
--- a/core/berylretries/budget.go
+++ b/core/berylretries/budget.go
@@ -22,7 +22,7 @@
 	second   int64     // that the newest elements count
 	requests [2 * window]int32
 	retries  [window + 1]int32
-	paced    float64 // retries of rejected requests that are due
+	paced    float64 // retries of rejected requests that are due, less those promised for later
 	pacedAt  time.Time
 }
 
@@ -62,29 +62,35 @@
 	return true
 }
 
-// TakeRejected is Take for a request that a backend server has rejected.
-func (b *Budget) TakeRejected(now time.Time) bool {
+// TakeRejected is Take for a request that a backend server has rejected. The retry is due after
+// the time that it returns, at most maxWait.
+func (b *Budget) TakeRejected(now time.Time, maxWait time.Duration) (wait time.Duration, ok bool) {
 	if b.Take(now) {
-		return true
+		return 0, true
 	}
-	allowed, _ := b.pace(now)
-	if b.paced < 1 || float64(b.retriesInWindow()+1) > allowed {
-		return false
+	allowed, rate := b.pace(now)
+	if float64(b.retriesInWindow()+1) > allowed {
+		return 0, false
+	}
+	if b.paced < 1 {
+		wait = time.Duration((1 - b.paced) / rate * float64(time.Second))
+	}
+	if wait > maxWait {
+		return 0, false
 	}
 	b.paced--
 	b.retries[b.second%int64(len(b.retries))]++
-	return true
+	return wait, true
 }
 
 // pace adds the retries of rejected requests that have become due. It returns the number
-// allowed in a window and the largest number that can be due.
-func (b *Budget) pace(now time.Time) (allowed, largest float64) {
+// allowed in a window and the rate at which they become due.
+func (b *Budget) pace(now time.Time) (allowed, rate float64) {
 	allowed = RejectedRatio * float64(b.requestsInWindow())
-	rate := allowed / spread
-	largest = max(1, rate*maxBurst)
-	b.paced = min(b.paced+rate*max(0, now.Sub(b.pacedAt).Seconds()), largest)
+	rate = allowed / spread
+	b.paced = min(b.paced+rate*max(0, now.Sub(b.pacedAt).Seconds()), max(1, rate*maxBurst))
 	b.pacedAt = now
-	return allowed, largest
+	return allowed, rate
 }
 
 // advance clears the elements of the seconds that have begun since the last call.
--- a/core/berylretries/budget_test.go
+++ b/core/berylretries/budget_test.go
@@ -49,7 +49,10 @@
 				for range n {
 					requests[step]++
 					b.RecordRequest(now)
-					for shedding && b.TakeRejected(now) {
+					for shedding {
+						if _, ok := b.TakeRejected(now, 0); !ok {
+							break
+						}
 						retries[step]++
 					}
 				}
@@ -78,10 +81,33 @@
 	n := 0
 	for range 90 {
 		now = now.Add(100 * time.Millisecond)
-		for b.TakeRejected(now) {
+		for {
+			if _, ok := b.TakeRejected(now, 0); !ok {
+				break
+			}
 			n++
 		}
 	}
 	require.InDelta(t, 0.9*RejectedRatio*1000, float64(n), 15, "in 9 of the window's 10 s")
 	require.False(t, b.Take(now), "other retries get no more than before")
 }
+
+func TestRejectedRequestWaitsForItsRetry(t *testing.T) {
+	b, now := New(), time.Unix(0, 0)
+	for range 1000 {
+		b.RecordRequest(now)
+		now = now.Add(10 * time.Millisecond)
+	}
+	last := time.Duration(0)
+	for range 1000 {
+		wait, ok := b.TakeRejected(now, 500*time.Millisecond)
+		if !ok {
+			require.InDelta(t, 0.5, last.Seconds(), 0.06, "no more retries than become due in that time")
+			return
+		}
+		require.GreaterOrEqual(t, wait, last, "in order")
+		require.LessOrEqual(t, wait, 500*time.Millisecond)
+		last = wait
+	}
+	t.Fatal("retries have no end")
+}
--- a/io/berylproxy/shedding.go
+++ b/io/berylproxy/shedding.go
@@ -14,6 +14,10 @@
 // to servers that reject 55 % of what arrives, 1 % is rejected as often.
 const maxRejections = 8
 
+// retryWaitShare is the part of the time left, as its reciprocal, that a request may wait for a
+// retry. A chain that fails loses all of its calls, so waiting is better.
+const retryWaitShare = 8
+
 // excludes reports whether a server is not to be tried for the request.
 func (st *attemptState) excludes(id string) bool {
 	if st.again {
@@ -41,8 +45,17 @@
 	}
 	st.again = st.arrivals >= max(q.rule.MaxAttempts, 1) || len(st.tried) >= len(p.State().ServersByService[q.outgoing.Service])
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.retryBudget(q.outgoing.Service).TakeRejected(time.Now())
+	wait, ok := p.retryBudget(q.outgoing.Service).TakeRejected(time.Now(), time.Until(q.outgoing.Deadline)/retryWaitShare)
+	p.mu.Unlock()
+	if !ok || wait == 0 {
+		return ok
+	}
+	select {
+	case <-time.After(wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // failedBelow reports whether a failed request is likely to have failed because of a service
--- a/io/berylrunner/shedding.go
+++ b/io/berylrunner/shedding.go
@@ -30,6 +30,10 @@
 	return r.shedding.Share(time.Now())
 }
 
+// minCallFailures is the share of its nested calls that must fail for the errors of a server to
+// count as caused by them.
+const minCallFailures = 0.05
+
 // checkShedding refuses a new request whose chain would need retries that the services below
 // do not have.
 func (r *Runner) checkShedding(req *berylrequest.Request) *berylreply.Reply {
@@ -49,13 +53,14 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	below := failed && r.callFailures.Share(now) >= minCallFailures
 	if rejected || reply.Outcome == berylattempt.Answered {
-		r.shedding.Record(now, rejected || (failed && r.callFailures.Share(now) == 0))
+		r.shedding.Record(now, rejected || (failed && !below))
 		if r.shedding.Changed(now) {
 			go r.guard("shedding", r.onShedding)
 		}
 	}
-	if !req.Nested && reply.Outcome == berylattempt.Answered && len(r.callGraph.CallsOf(req.Rule)) > 0 {
-		r.gate.Ended(now, start, req.Rule, req.Importance, failed)
+	if !req.Nested && reply.Outcome == berylattempt.Answered {
+		r.gate.Ended(now, start, req.Rule, req.Importance, below)
 	}
 }
