Refuse chains only for rejections, and only where most of them fail

Of chains of one or two calls more succeed when all are tried. Errors that a server makes itself no longer count as shedding: their retries are not those of rejected calls.

--- a/core/berylchain/gate.go
+++ b/core/berylchain/gate.go
@@ -1,5 +1,5 @@
 // Package berylchain limits the requests that begin on one backend server while a service
-// further down their call chain rejects or fails most calls on all of its servers.
+// further down their call chain rejects most calls on all of its servers.
 //
 // A request that makes eight calls to a service that rejects 55 % of what arrives succeeds in
 // one of 600 cases without retries. The fleet may retry only a fixed ratio of its calls, so
@@ -8,9 +8,9 @@
 // carry, these succeed whole. The others are refused before any work is spent on them.
 //
 // The number that the retries can carry follows from the share that the service rejects. The
-// least important requests start with a part of it. The number is then corrected by what becomes of the admitted requests: the less important a request, the
-// fewer failures are accepted before fewer are admitted, so that more important requests get
-// the retries.
+// least important requests start with a part of it. The number is then corrected by what
+// becomes of the admitted requests: the less important a request, the fewer failures are
+// accepted before fewer are admitted, so that more important requests get the retries.
 package berylchain
 
 import (
@@ -24,7 +24,7 @@
 // Gate decides which new requests begin on one backend server. It is not safe for concurrent
 // use.
 type Gate struct {
-	shedding float64   // largest share of arrivals that a service of the fleet rejects or fails
+	shedding float64   // largest share of arrivals that a service of the fleet rejects
 	since    time.Time // when that became known
 	kinds    map[kind]*state
 }
@@ -48,7 +48,8 @@
 	minWindow        = 150 * time.Millisecond
 	longWindow       = 600 * time.Millisecond
 	minEnded         = 5     // requests that must end in a window, unless it is long
-	minFailed        = 2     // requests that must fail in a window before any is refused
+	minFailed        = 2     // requests that must fail in a window before any is refused, as some fail by themselves
+	hopelessFailure  = 0.75  // share that must fail before any is refused: of short chains more succeed when all are tried
 	toleratedFailure = 0.1   // share of the least important requests that may fail before fewer are admitted
 	importanceFactor = 2.0   // multiplies toleratedFailure for each step of importance
 	maxTolerated     = 0.6   // upper bound of the tolerated share
@@ -62,7 +63,7 @@
 // New returns a gate that admits everything.
 func New() *Gate { return &Gate{kinds: map[kind]*state{}} }
 
-// SetShedding sets the largest share of arrivals that all servers of a service reject or fail.
+// SetShedding sets the largest share of arrivals that all servers of a service reject.
 // Everything is admitted again when no service sheds any more.
 func (g *Gate) SetShedding(now time.Time, share float64) {
 	before := g.isShedding()
@@ -139,7 +140,7 @@
 	tolerated := min(toleratedFailure*math.Pow(importanceFactor, float64(importance)), maxTolerated)
 	least := max(minShare, carried*(1-math.Exp2(-float64(importance))))
 	switch {
-	case s.share >= 1 && s.failed < minFailed: // They may have failed by themselves.
+	case s.share >= 1 && (s.failed < minFailed || failed < hopelessFailure):
 	case failed > tolerated && s.share >= 1 && importance == 0:
 		s.share = max(least, carried*startShare)
 	case failed > tolerated:
--- a/core/berylshedding/meter.go
+++ b/core/berylshedding/meter.go
@@ -1,5 +1,4 @@
-// Package berylshedding measures how much of what arrives at a backend server it rejects or
-// fails by itself, and how much all servers of a service do.
+// Package berylshedding measures how much of what arrives at a backend server it rejects.
 //
 // One server that rejects requests is avoided. When all servers of a service reject most of
 // what arrives, there is nowhere to go: every request that makes several calls to the service
@@ -12,13 +11,13 @@
 	"time"
 )
 
-// Meter measures the share of arrivals at one backend server that fail. It is not safe for
+// Meter measures the share of arrivals that one backend server rejects. It is not safe for
 // concurrent use.
 type Meter struct {
-	arrivals, failed float64 // decaying counts
-	updated          time.Time
-	told             bool      // whether Changed last reported shedding
-	toldAt           time.Time // when that was
+	arrivals, rejected float64 // decaying counts
+	updated            time.Time
+	told               bool      // whether Changed last reported shedding
+	toldAt             time.Time // when that was
 }
 
 const (
@@ -28,23 +27,23 @@
 	minTellInterval = time.Second // between two changes that are told
 )
 
-// Record records an arrival and whether the server rejected or failed it.
-func (m *Meter) Record(now time.Time, failed bool) {
+// Record records an arrival and whether the server rejected it.
+func (m *Meter) Record(now time.Time, rejected bool) {
 	m.advance(now)
 	m.arrivals++
-	if failed {
-		m.failed++
+	if rejected {
+		m.rejected++
 	}
 }
 
-// Share returns the share of the latest arrivals that failed. It is 0 while too few arrive, so
+// Share returns the share of the latest arrivals that were rejected. It is 0 while too few arrive, so
 // that requests are then sent to find out.
 func (m *Meter) Share(now time.Time) float64 {
 	m.advance(now)
 	if m.arrivals < minArrivals {
 		return 0
 	}
-	return m.failed / m.arrivals
+	return m.rejected / m.arrivals
 }
 
 // Changed reports whether the share has passed MinShare since it last did, and a short while has
@@ -62,7 +61,7 @@
 	if dt := now.Sub(m.updated).Seconds(); dt > 0 {
 		decay := math.Exp(-dt / decayTime)
 		m.arrivals *= decay
-		m.failed *= decay
+		m.rejected *= decay
 		m.updated = now
 	}
 }
--- a/io/berylgossip/heartbeat.go
+++ b/io/berylgossip/heartbeat.go
@@ -18,5 +18,5 @@
 	Demand         map[string]uint32 `cbor:"11,keyasint,omitempty"`
 	ZoneDemand     map[string]uint32 `cbor:"12,keyasint,omitempty"`
 	Era            int64             `cbor:"13,keyasint,omitempty"` // of the store that ChangeRevision and Revision belong to
-	Shedding       uint8             `cbor:"14,keyasint,omitempty"` // per cent of the latest arrivals that the backend server rejected or failed
+	Shedding       uint8             `cbor:"14,keyasint,omitempty"` // per cent of the latest arrivals that the backend server rejected
 }
--- a/io/berylproxy/proxy.go
+++ b/io/berylproxy/proxy.go
@@ -64,7 +64,7 @@
 	peers        map[string]berylgossip.Peer
 	remoteSends  map[*remoteSend]struct{}
 	fleetSize    int                // instances that take requests
-	shedding     map[string]float64 // share of arrivals that all servers of a service reject or fail, by service; nil while none does
+	shedding     map[string]float64 // share of arrivals that all servers of a service reject, by service; nil while none does
 }
 
 // remoteSend is an attempt at another instance that has not ended.
--- a/io/berylproxy/shedding.go
+++ b/io/berylproxy/shedding.go
@@ -26,7 +26,7 @@
 	return st.tried[id]
 }
 
-// sheds reports whether all servers of a service together reject or fail much of what arrives.
+// sheds reports whether all servers of a service together reject much of what arrives.
 func (p *Proxy) sheds(service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -91,8 +91,8 @@
 	}
 }
 
-// Shedding returns the largest share of arrivals that a service rejects or fails on all its
-// servers, and the service. It is 0 while no service sheds.
+// Shedding returns the largest share of arrivals that a service rejects on all its servers, and
+// the service. It is 0 while no service sheds.
 func (p *Proxy) Shedding() (service string, share float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/berylreply/reply.go
+++ b/io/berylreply/reply.go
@@ -39,7 +39,7 @@
 const (
 	ReasonQueueFull        = "full"        // the request would wait too long in the queue
 	ReasonThrottled        = "bound"       // too many requests of its rule are late or fail because a service that they call is overloaded
-	ReasonShedding         = "shedding"    // a service that it would call rejects or fails most calls on all its servers
+	ReasonShedding         = "shedding"    // a service that it would call rejects much on all its servers
 	ReasonExpired          = "expired"     // its deadline passed while it waited in the queue
 	ReasonShuttingDown     = "leaving"     // the instance is shutting down
 	ReasonServerLeaving    = "draining"    // the backend server has said that it is shutting down
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -47,7 +47,7 @@
 	limiter        *berylinflight.Limiter // of new requests while the services that they call are overloaded
 	gate           *berylchain.Gate       // of new requests while a service further down their chain sheds
 	shedding       berylshedding.Meter    // of the backend server
-	callFailures   berylshedding.Meter    // of the nested calls that the backend server makes
+	callFailures   berylshedding.Meter    // of the nested calls that the backend server makes, which count as rejected if they fail
 	running        map[string]int         // requests, by rule
 	ranks          map[string]int         // rank of the latest request, by rule
 	slots          int
--- a/io/berylrunner/shedding.go
+++ b/io/berylrunner/shedding.go
@@ -11,19 +11,18 @@
 )
 
 // OnShedding sets a function that is called, on a goroutine of its own, when the backend server
-// begins or ceases to reject or fail much of what arrives.
+// begins or ceases to reject much of what arrives.
 func OnShedding(f func()) func(*Runner) { return func(r *Runner) { r.onShedding = f } }
 
-// SetShedding sets the largest share of arrivals that a service of the fleet rejects or fails
-// on all its servers.
+// SetShedding sets the largest share of arrivals that a service of the fleet rejects on all
+// its servers.
 func (r *Runner) SetShedding(share float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.gate.SetShedding(time.Now(), share)
 }
 
-// Shedding returns the share of the latest arrivals that the backend server rejected or failed
-// by itself.
+// Shedding returns the share of the latest arrivals that the backend server rejected.
 func (r *Runner) Shedding() float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -45,22 +44,21 @@
 	return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonShedding)
 }
 
-// recordOutcome records whether the server rejected or failed a request that was sent at
-// start. A failure while nested calls fail is not the server's own.
+// recordOutcome records whether the server rejected a request that was sent at start, and
+// whether it failed while nested calls of the server fail.
 func (r *Runner) recordOutcome(ctx context.Context, req *berylrequest.Request, start time.Time, reply *berylreply.Reply) {
-	rejected := reply.Outcome == berylattempt.Rejected
-	failed := reply.Outcome == berylattempt.Answered && reply.Status >= http.StatusInternalServerError && ctx.Err() == nil
+	answered := reply.Outcome == berylattempt.Answered
+	failed := answered && reply.Status >= http.StatusInternalServerError && ctx.Err() == nil
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	below := failed && r.callFailures.Share(now) >= minCallFailures
-	if rejected || reply.Outcome == berylattempt.Answered {
-		r.shedding.Record(now, rejected || (failed && !below))
+	if rejected := reply.Outcome == berylattempt.Rejected; rejected || answered {
+		r.shedding.Record(now, rejected)
 		if r.shedding.Changed(now) {
 			go r.guard("shedding", r.onShedding)
 		}
 	}
-	if !req.Nested && reply.Outcome == berylattempt.Answered {
-		r.gate.Ended(now, start, req.Rule, req.Importance, below)
+	if !req.Nested && answered {
+		r.gate.Ended(now, start, req.Rule, req.Importance, failed && r.callFailures.Share(now) >= minCallFailures)
 	}
 }
--- a/io/berylsidecar/meter.go
+++ b/io/berylsidecar/meter.go
@@ -84,15 +84,15 @@
 	}))
 }
 
-// watchShedding adds gauges of the share of arrivals that the backend server rejects or fails,
+// watchShedding adds gauges of the share of arrivals that the backend server rejects,
 // and of the largest such share of a whole service.
 func (m *meter) watchShedding(own func() float64, worst func() (service string, share float64)) {
 	m.reg.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: namespace, Name: "server_shedding_ratio", Help: "Share of the latest arrivals that the backend server beside the instance rejected or failed by itself.",
+			Namespace: namespace, Name: "server_shedding_ratio", Help: "Share of the latest arrivals that the backend server beside the instance rejected.",
 		}, own),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: namespace, Name: "service_shedding_ratio", Help: "Largest share of arrivals that all servers of a service reject or fail, 0 below 0.15.",
+			Namespace: namespace, Name: "service_shedding_ratio", Help: "Largest share of arrivals that all servers of a service reject, 0 below 0.15.",
 		}, func() float64 { _, share := worst(); return share }))
 }
 
