--- a/core/berylchain/gate.go
+++ b/core/berylchain/gate.go
@@ -53,7 +53,7 @@
 	toleratedFailure = 0.1   // share of the least important requests that may fail before fewer are admitted
 	importanceFactor = 2.0   // multiplies toleratedFailure for each step of importance
 	maxTolerated     = 0.6   // upper bound of the tolerated share
-	startShare       = 0.125 // part of the carried share that the least important requests start with; more important ones, which are not known here, may need the rest
+	startShare       = 0.25  // part of the carried share that the least important requests start with; more important ones, which are not known here, may need the rest
 	largestDecrease  = 0.4   // a decrease multiplies the admitted share by at least this
 	smallestDecrease = 0.9   // a decrease multiplies the admitted share by at most this
 	increaseFactor   = 1.3   // multiplies the admitted share when less than half of the tolerated share fails
@@ -88,11 +88,14 @@
 }
 
 // Admit reports whether a new request may begin.
-func (g *Gate) Admit(rule string, importance int) bool {
+func (g *Gate) Admit(now time.Time, rule string, importance int) bool {
 	s := g.kinds[kind{rule, importance}]
 	if s == nil || s.share >= 1 {
 		return true
 	}
+	if now.Sub(s.windowStart) >= longWindow {
+		s.adjust(now, CarriedShare(g.shedding), importance)
+	}
 	if s.credit += s.share; s.credit < 1 {
 		return false
 	}
@@ -129,14 +132,13 @@
 	if dt := now.Sub(s.windowStart); dt < minWindow || (s.ended < minEnded && dt < longWindow) {
 		return
 	}
-	s.adjust(CarriedShare(g.shedding), importance)
-	s.windowStart, s.ended, s.failed = now, 0, 0
+	s.adjust(now, CarriedShare(g.shedding), importance)
 }
 
 // adjust sets the admitted share at the end of a window. carried is the share that could be
 // admitted if it were the same for all requests.
-func (s *state) adjust(carried float64, importance int) {
-	failed := float64(s.failed) / float64(s.ended)
+func (s *state) adjust(now time.Time, carried float64, importance int) {
+	failed := float64(s.failed) / float64(max(s.ended, 1))
 	tolerated := min(toleratedFailure*math.Pow(importanceFactor, float64(importance)), maxTolerated)
 	least := max(minShare, carried*(1-math.Exp2(-float64(importance))))
 	switch {
@@ -148,4 +150,5 @@
 	case failed < tolerated/2:
 		s.share = min(1, s.share*increaseFactor)
 	}
+	s.windowStart, s.ended, s.failed = now, 0, 0
 }
--- a/io/berylproxy/shedding.go
+++ b/io/berylproxy/shedding.go
@@ -14,6 +14,10 @@
 // to servers that reject 55 % of what arrives, 1 % is rejected as often.
 const maxRejections = 8
 
+// sheddingTTL is how long what an instance told of its server counts. Instances of other data
+// centres of a large fleet send heartbeats seldom, and all at once when this changes.
+const sheddingTTL = 10 * time.Second
+
 // retryWaitShare is the part of the time left, as its reciprocal, that a request may wait for a
 // retry. A chain that fails loses all of its calls, so waiting is better.
 const retryWaitShare = 8
@@ -75,7 +79,7 @@
 		sum, n := 0, 0
 		for _, entry := range list {
 			peer, known := p.peers[entry.Host()]
-			if !known || entry.Leaving || now.Sub(peer.LastSeen) > PeerTimeout {
+			if !known || entry.Leaving || now.Sub(peer.LastSeen) > sheddingTTL {
 				continue
 			}
 			sum += int(peer.Heartbeat.Shedding)
--- a/io/berylrunner/shedding.go
+++ b/io/berylrunner/shedding.go
@@ -38,7 +38,7 @@
 func (r *Runner) checkShedding(req *berylrequest.Request) *berylreply.Reply {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if req.Nested || r.gate.Admit(req.Rule, req.Importance) {
+	if req.Nested || r.gate.Admit(time.Now(), req.Rule, req.Importance) {
 		return nil
 	}
 	return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonShedding)
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -107,7 +107,7 @@
 		CheckSuspect: s.crashes.Check,
 	})
 	s.beside = berylrunner.New(set.Backend, names, s.own, berylrunner.OnRequestEnd(s.seen), berylrunner.OnServerStatus(s.serverStatus),
-		berylrunner.OnServerEnd(s.serverEnded), berylrunner.OnShedding(func() { s.say(false) }), berylrunner.OnAnswered(s.crashes.Answered), berylrunner.CheckSuspect(s.crashes.Check), berylrunner.Guard(s.guard.Run))
+		berylrunner.OnServerEnd(s.serverEnded), berylrunner.OnShedding(func() { s.say(true) }), berylrunner.OnAnswered(s.crashes.Answered), berylrunner.CheckSuspect(s.crashes.Check), berylrunner.Guard(s.guard.Run))
 	s.meter.watchServer(s.beside.ServerStatus)
 	s.meter.watchShedding(s.beside.Shedding, s.enter.Shedding)
 	s.meter.watchSuspects(s.crashes.Suspects)
