--- a/core/berylshedding/meter.go
+++ b/core/berylshedding/meter.go
@@ -24,7 +24,7 @@
 	decayTime   = 0.3 // seconds, time constant of the counts
 	minArrivals = 3.0 // decayed count below which the share counts as 0
 
-	minTellInterval = time.Second // between two changes that are told
+	minTellInterval = 400 * time.Millisecond // between two changes that are told
 )
 
 // Record records an arrival and whether the server rejected it.
--- a/io/berylproxy/proxy.go
+++ b/io/berylproxy/proxy.go
@@ -11,6 +11,7 @@
 
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylretries"
+	"berylspan/core/berylshedding"
 	"berylspan/core/berylsplitter"
 	"berylspan/core/beryltimelimit"
 	"berylspan/core/beryltracker"
@@ -63,8 +64,9 @@
 	timeLimits   map[string]*beryltimelimit.Estimator // of root requests, by rule
 	peers        map[string]berylgossip.Peer
 	remoteSends  map[*remoteSend]struct{}
-	fleetSize    int                // instances that take requests
-	shedding     map[string]float64 // share of arrivals that all servers of a service reject, by service; nil while none does
+	fleetSize    int                             // instances that take requests
+	failures     map[string]*berylshedding.Meter // of answers, by ID of the backend server; only while a service sheds
+	shedding     map[string]float64              // share of arrivals that all servers of a service reject, by service; nil while none does
 }
 
 // remoteSend is an attempt at another instance that has not ended.
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -196,6 +196,7 @@
 		c := p.tracker.Candidate(now, entry.ID, q.rule.Name, entry.Slots)
 		c.OtherZone = entry.Zone != p.Zone
 		c.Cold = entry.Warm > 0
+		c.Suspect = c.Suspect || p.failsBelow(now, entry.ID)
 		c.Excluded = st.excludes(entry.ID) || entry.Leaving || p.tracker.Status(entry.ID, entry.Born).Leaving
 		throttled = throttled || (c.Throttled && !q.outgoing.Nested)
 		host := entry.Host()
@@ -257,6 +258,7 @@
 	switch {
 	case reply.Outcome == berylattempt.Answered:
 		p.tracker.Succeeded(now, id)
+		p.recordFailure(now, id, reply.Status)
 		p.recordStatus(now, q, reply)
 	case reply.Reason == berylreply.ReasonServerLeaving:
 		status := p.tracker.Status(id, q.outgoing.ServerStartMs)
--- a/io/berylproxy/shedding.go
+++ b/io/berylproxy/shedding.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -71,6 +72,32 @@
 	return len(p.shedding) > 0 && !own
 }
 
+// failingShare is the share of its latest answers that must be errors for a server to count as
+// one that fails because of a service that sheds.
+const failingShare = 0.5
+
+// recordFailure records whether a server answered with an error, while a service sheds. The
+// caller holds the lock.
+func (p *Proxy) recordFailure(now time.Time, id string, status int) {
+	if len(p.shedding) == 0 {
+		return
+	}
+	m := p.failures[id]
+	if m == nil {
+		m = &berylshedding.Meter{}
+		p.failures[id] = m
+	}
+	m.Record(now, status >= http.StatusInternalServerError)
+}
+
+// failsBelow reports whether most requests that were sent to a server failed while a service
+// sheds. The instance beside it may have no retries left; since its requests end soon, it
+// would look idle and attract more. The caller holds the lock.
+func (p *Proxy) failsBelow(now time.Time, id string) bool {
+	m := p.failures[id]
+	return m != nil && m.Share(now) > failingShare
+}
+
 // updateShedding determines which services shed, from what the instances beside their servers
 // tell. The caller holds the lock.
 func (p *Proxy) updateShedding(now time.Time, state *berylstorecache.State) {
@@ -93,6 +120,12 @@
 		}
 		p.shedding[service] = float64(sum) / 100 / float64(n)
 	}
+	switch {
+	case p.shedding == nil:
+		p.failures = nil
+	case p.failures == nil:
+		p.failures = map[string]*berylshedding.Meter{}
+	}
 }
 
 // Shedding returns the largest share of arrivals that a service rejects on all its servers, and
--- a/io/berylproxy/shedding_test.go
+++ b/io/berylproxy/shedding_test.go
@@ -13,6 +13,7 @@
 	"berylspan/core/berylhttpconfig"
 	"berylspan/core/berylregistration"
 	"berylspan/core/berylrule"
+	"berylspan/core/berylshedding"
 	"berylspan/io/berylgossip"
 	"berylspan/io/berylhttpserver"
 	"berylspan/io/berylreply"
@@ -121,3 +122,21 @@
 	require.Empty(t, service)
 	require.Zero(t, share)
 }
+
+// A server whose requests fail at once, since the instance beside it has no retries, looks idle.
+func TestServerWhoseRequestsFailGetsFewWhileAServiceSheds(t *testing.T) {
+	sent := map[string]int{}
+	p := newSheddingProxy(0, func(id string) *berylreply.Reply {
+		sent[id]++
+		status := http.StatusOK
+		if id == "i-0" {
+			status = http.StatusInternalServerError
+		}
+		return &berylreply.Reply{Outcome: berylattempt.Answered, Status: status, Header: http.Header{}}
+	})
+	p.shedding, p.failures = map[string]float64{"below": 0.5}, map[string]*berylshedding.Meter{}
+	for range 400 {
+		serve(p)
+	}
+	require.Less(t, sent["i-0"], 20)
+}
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -104,7 +103,7 @@
 		w.ServerID = own.ID
 	}
 	w.Busy, w.Limit = s.beside.Load()
-	w.Shedding = uint8(math.Round(100 * s.beside.Shedding()))
+	w.Shedding = s.shedding()
 	near, far, large := s.hosts(all, int(s.turn.Add(1)))
 	err := s.gossip.SendHeartbeat(near, w)
 	if !large && err == nil {
--- a/io/berylsidecar/shedding.go
+++ b/io/berylsidecar/shedding.go
@@ -1,10 +1,22 @@
 package berylsidecar
 
 import (
+	"math"
+
 	"berylspan/core/berylshedding"
 	"berylspan/io/berylgossip"
 )
 
+// shedding returns the share of arrivals in per cent that the backend server beside rejects, 0
+// if that is too little to matter.
+func (s *Sidecar) shedding() uint8 {
+	share := s.beside.Shedding()
+	if share < berylshedding.MinShare {
+		return 0
+	}
+	return uint8(math.Ceil(100 * share))
+}
+
 // hearShedding looks at once at what others told when the server of one begins or ceases to
 // shed.
 func (s *Sidecar) hearShedding(host string, w berylgossip.Heartbeat) {
