--- a/core/berylchain/gate.go
+++ b/core/berylchain/gate.go
@@ -140,7 +140,10 @@
 func (s *state) adjust(now time.Time, carried float64, importance int) {
 	failed := float64(s.failed) / float64(max(s.ended, 1))
 	tolerated := min(toleratedFailure*math.Pow(importanceFactor, float64(importance)), maxTolerated)
-	least := max(minShare, carried*(1-math.Exp2(-float64(importance))))
+	least := minShare
+	if failed < hopelessFailure {
+		least = max(minShare, carried*(1-math.Exp2(-float64(importance))))
+	}
 	switch {
 	case s.share >= 1 && (s.failed < minFailed || failed < hopelessFailure):
 	case failed > tolerated && s.share >= 1 && importance == 0:
