--- a/io/berylgossip/heartbeat.go
+++ b/io/berylgossip/heartbeat.go
@@ -19,4 +19,5 @@
 	ZoneDemand     map[string]uint32 `cbor:"12,keyasint,omitempty"`
 	Era            int64             `cbor:"13,keyasint,omitempty"` // of the store that ChangeRevision and Revision belong to
 	Slowdown       int               `cbor:"14,keyasint,omitempty"` // per cent of the usual time that work takes on the backend server, 0 when unknown; to the own data centre only
+	Shedding       uint8             `cbor:"15,keyasint,omitempty"` // per cent of the latest arrivals that the backend server rejected
 }
--- a/io/berylproxy/proxy.go
+++ b/io/berylproxy/proxy.go
@@ -15,6 +15,7 @@
 	"berylspan/core/berylplacement"
 	"berylspan/core/berylregions"
 	"berylspan/core/berylretries"
+	"berylspan/core/berylshedding"
 	"berylspan/core/berylslowstart"
 	"berylspan/core/berylsplitter"
 	"berylspan/core/beryltimelimit"
@@ -46,10 +47,10 @@
 	SendRemote func(ctx context.Context, addr string, r *berylrequest.Request) *berylreply.Reply
 
 	// CallStarted and CallEnded are called at the start and end of each nested call.
-	// took is its duration, waited the part of that spent in queues. CallRank returns
-	// the rank of a nested call.
+	// took is its duration, waited the part of that spent in queues, failed whether it got no
+	// answer or an error. CallRank returns the rank of a nested call.
 	CallStarted func(rule string)
-	CallEnded   func(took, waited time.Duration)
+	CallEnded   func(took, waited time.Duration, failed bool)
 	CallRank    func(rule string) int
 
 	// CheckSuspect reports whether a request may run as a trial only, because backend servers
@@ -74,7 +75,9 @@
 	remoteSends  map[*remoteSend]struct{}
 	fleetSize    int // instances that take requests
 	coldShares   *berylcoldshare.Shares
-	zoneSizes    map[string]int // listed backend servers, by data centre
+	zoneSizes    map[string]int                  // listed backend servers, by data centre
+	failures     map[string]*berylshedding.Meter // of answers, by ID of the backend server; only while a service sheds
+	shedding     map[string]float64              // share of arrivals that all servers of a service reject, by service; nil while none does
 }
 
 // remoteSend is an attempt at another instance that has not ended.
@@ -133,6 +136,7 @@
 	}
 	p.fleetSize = len(hosts)
 	p.slowStart.Update(now, state.Evacuated)
+	p.updateShedding(now, state)
 	for send := range p.remoteSends {
 		if peer, ok := p.peers[send.host]; ok && p.isSilent(now, peer) {
 			send.cancel()
--- a/io/berylreply/reply.go
+++ b/io/berylreply/reply.go
@@ -40,6 +40,7 @@
 	ReasonQueueFull        = "full"        // the request would wait too long in the queue
 	ReasonCold             = "cold"        // the backend server is cold and has got as many requests as it tolerates
 	ReasonThrottled        = "bound"       // too many requests of its rule are late or fail because a service that they call is overloaded
+	ReasonShedding         = "shedding"    // a service that it would call rejects much on all its servers
 	ReasonExpired          = "expired"     // its deadline passed while it waited in the queue
 	ReasonShuttingDown     = "leaving"     // the instance is shutting down
 	ReasonServerLeaving    = "draining"    // the backend server has said that it is shutting down
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -12,6 +12,7 @@
 	"berylspan/core/beryladmission"
 	"berylspan/core/berylattempt"
 	"berylspan/core/berylcallgraph"
+	"berylspan/core/berylchain"
 	"berylspan/core/berylcoldstart"
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylinflight"
@@ -19,6 +20,7 @@
 	"berylspan/core/berylregistration"
 	"berylspan/core/berylserverload"
 	"berylspan/core/berylserverstatus"
+	"berylspan/core/berylshedding"
 	"berylspan/core/berylwarmup"
 	"berylspan/io/berylconnpool"
 	"berylspan/io/berylpanic"
@@ -36,6 +38,7 @@
 	onServerStatus func(serverID string, status berylserverstatus.Status, err error)
 	onServerEnd    func(berylserverend.ServerEnd)
 	onAnswered     func(req *berylrequest.Request)
+	onShedding     func()
 	checkSuspect   func(req *berylrequest.Request) (suspect bool, wait time.Duration)
 	isEvacuated    func() bool // the data centre of the backend server
 	isListed       func(serverID string) bool
@@ -48,6 +51,9 @@
 	admission      *beryladmission.Controller[*waiter]
 	callGraph      *berylcallgraph.Estimator
 	limiter        *berylinflight.Limiter // of new requests while the services that they call are overloaded
+	gate           *berylchain.Gate       // of new requests while a service further down their chain sheds
+	shedding       berylshedding.Meter    // of the backend server
+	callFailures   berylshedding.Meter    // of the nested calls that the backend server makes, which count as rejected if they fail
 	running        map[string]int         // requests, by rule
 	ranks          map[string]int         // rank of the latest request, by rule
 	slots          int
@@ -114,6 +120,7 @@
 		onServerStatus: func(string, berylserverstatus.Status, error) {},
 		onServerEnd:    func(berylserverend.ServerEnd) {},
 		onAnswered:     func(*berylrequest.Request) {},
+		onShedding:     func() {},
 		checkSuspect:   func(*berylrequest.Request) (bool, time.Duration) { return false, 0 },
 		isEvacuated:    func() bool { return false },
 		isListed:       func(string) bool { return true },
@@ -124,6 +131,7 @@
 		warmup:         berylwarmup.New(time.Now()),
 		callGraph:      berylcallgraph.New(),
 		limiter:        berylinflight.New(),
+		gate:           berylchain.New(),
 		running:        map[string]int{},
 		ranks:          map[string]int{},
 	}
@@ -192,6 +200,9 @@
 	if reply == nil {
 		reply = r.checkThrottle(req)
 	}
+	if reply == nil {
+		reply = r.checkShedding(req)
+	}
 	if reply == nil {
 		admissionRequest := beryladmission.Request{Rank: req.Rank, Nested: req.Nested, Kind: req.Rule, TimeToDeadline: req.Deadline.Sub(start), TimeToTarget: req.TargetTime.Sub(start)}
 		reply = r.acquireSlot(ctx, admissionRequest)
@@ -374,6 +385,7 @@
 		OnBroken: func() { r.recordBroken(f) }, OnAnswered: func() { r.onAnswered(req) },
 	}, onDone)
 	r.recordReached(ctx, reply)
+	r.recordOutcome(ctx, req, start, reply)
 	if !req.Nested {
 		r.recordEnd(ctx, req, reply)
 	}
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -50,6 +50,7 @@
 		case <-t.C:
 			s.guard.Run("heartbeat", func() {
 				s.look()
+				s.updateShedding()
 				s.mesh.EvictIdle()
 				s.beside.EvictIdle()
 				s.say(false)
@@ -105,6 +106,7 @@
 		w.ServerID = own.ID
 	}
 	w.Busy, w.Limit = s.beside.Load()
+	w.Shedding = s.shedding()
 	near, far, large := s.hosts(all, int(s.turn.Add(1)))
 	w.Slowdown = int(math.Round(s.beside.Slowdown() * 100))
 	err := s.gossip.SendHeartbeat(near, w)
@@ -241,6 +243,7 @@
 // hear returns what is done with a word.
 func (s *Sidecar) hear(ctx context.Context) func(host string, w berylgossip.Heartbeat) {
 	return func(host string, w berylgossip.Heartbeat) {
+		s.hearShedding(host, w)
 		if w.ConfigVersion == 0 {
 			return
 		}
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -68,6 +68,10 @@
 
 	guard *berylpanic.Guard
 
+	sheddingMu      sync.Mutex
+	sheddingService string   // that sheds most, "" while none does
+	sheddingServers sync.Map // whether its server sheds, by host of the instance; only of those that have
+
 	udp     *net.UDPConn
 	puller  *http.Client
 	servers []*http.Server
@@ -106,7 +110,7 @@
 		RunLocal:    s.run,
 		SendRemote:  s.mesh.Send,
 		CallStarted: func(rule string) { s.beside.CallStarted(rule) },
-		CallEnded:   func(took, waited time.Duration) { s.beside.CallEnded(took, waited) },
+		CallEnded:   func(took, waited time.Duration, failed bool) { s.beside.CallEnded(took, waited, failed) },
 		CallRank:    func(rule string) int { return s.beside.CallRank(rule) },
 		Quotas:      s.quotas,
 		Log:         log,
@@ -115,11 +119,12 @@
 		CheckSuspect: s.crashes.Check,
 	})
 	s.beside = berylrunner.New(set.Backend, names, s.own, berylrunner.OnRequestEnd(s.seen), berylrunner.OnServerStatus(s.serverStatus),
-		berylrunner.OnServerEnd(s.serverEnded), berylrunner.OnAnswered(s.crashes.Answered), berylrunner.CheckSuspect(s.crashes.Check), berylrunner.Guard(s.guard.Run),
+		berylrunner.OnServerEnd(s.serverEnded), berylrunner.OnShedding(func() { s.say(true) }), berylrunner.OnAnswered(s.crashes.Answered), berylrunner.CheckSuspect(s.crashes.Check), berylrunner.Guard(s.guard.Run),
 		berylrunner.Evacuated(s.evacuated), berylrunner.IsListed(s.isListed), berylrunner.ColdStart(s.coldStart), berylrunner.OnColdChange(s.coldChanged))
 	s.meter.watchServer(s.beside.ServerStatus)
 	s.meter.watchCold(s.beside.Cold)
 	s.meter.watchEvenness(s.enter.Evenness)
+	s.meter.watchShedding(s.beside.Shedding, s.enter.Shedding)
 	s.meter.watchSuspects(s.crashes.Suspects)
 	s.meter.watchEvacuations(func() int { return len(s.view.State().Evacuated) }, s.evacuated)
 	return s
