--- a/io/berylproxy/shedding_test.go
+++ b/io/berylproxy/shedding_test.go
@@ -11,6 +11,7 @@
 	"berylspan/core/beryldestination"
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylhttpconfig"
+	"berylspan/core/berylregions"
 	"berylspan/core/berylregistration"
 	"berylspan/core/berylrule"
 	"berylspan/core/berylshedding"
@@ -40,7 +41,8 @@
 		peers = append(peers, berylgossip.Peer{Host: host, LastSeen: time.Now(), Heartbeat: berylgossip.Heartbeat{Shedding: shedding}})
 	}
 	p := New(&Proxy{
-		Names: berylheadernames.Default(), Host: "127.9.0.9", Port: "2", Log: zerolog.Nop(),
+		Regions: func() *berylregions.Regions { return berylregions.New("z", nil) },
+		Names:   berylheadernames.Default(), Host: "127.9.0.9", Port: "2", Log: zerolog.Nop(),
 		Service: func() string { return "front" }, State: func() *berylstorecache.State { return state }, StateAge: func() time.Duration { return 0 },
 		SendRemote: func(_ context.Context, _ string, r *berylrequest.Request) *berylreply.Reply {
 			return answer(r.ServerID)
