--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -218,8 +218,6 @@
 		r.listed = entry.Lifetime()
 	}
 	r.trackLifetime(r.newestLifetime(entry, known, req))
-	r.warmup.Requested(time.Now(), r.coldStarts.Duration)
-	r.updateCold(entry, known, req.ColdPerSecond)
 	if known && (entry.Service != req.Service || (entry.ID != req.ServerID && entry.Born >= req.ServerStartMs)) {
 		reply := berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonWrongServer)
 		reply.ActualServerID = entry.ID
@@ -228,6 +226,8 @@
 	if r.status.Leaving && r.lifetime == req.Lifetime() {
 		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonServerLeaving)
 	}
+	r.warmup.Requested(time.Now(), r.coldStarts.Duration)
+	r.updateCold(entry, known, req.ColdPerSecond)
 	if known && entry.Slots > 0 && entry.Slots != r.slots {
 		r.slots = entry.Slots
 	}
