Explain where a request would go now, without sending it

berylspan explain -to HOST/PATH asks the daemon on its internal port: candidates with their share, expected time, load, age of what is known and why they are not chosen, the wait there and whether the request would be refused. Text and JSON; nothing is sent and no token is taken.

--- a/core/berylplacement/choose.go
+++ b/core/berylplacement/choose.go
@@ -125,11 +125,8 @@
 	if len(ch.servers) == 0 {
 		return -1, 0
 	}
-	for i := range ch.servers {
-		s := &ch.servers[i]
-		if c := &cs[s.index]; c.Idle && !c.OtherZone && !c.Suspect && s.remaining < s.limit && serviceTime(c, mean) < idleMaxSlowness*mean {
-			return s.index, mean * s.timeAt(s.remaining+1)
-		}
+	if s := ch.idle(cs, mean); s != nil {
+		return s.index, mean * s.timeAt(s.remaining+1)
 	}
 	level := ch.fill(rate)
 	point := random() * rate
@@ -148,6 +145,46 @@
 	return best.index, mean * level
 }
 
+// Prospect is what a candidate can expect of the next requests.
+type Prospect struct {
+	Share    float64 // probability that it is chosen
+	Expected float64 // seconds that a request is expected to take there, costs included
+}
+
+// Prospects returns the prospect of each candidate, the zero value for excluded ones.
+func (ch *Chooser) Prospects(cs []Candidate, costs Costs) []Prospect {
+	out := make([]Prospect, len(cs))
+	mean := meanServiceTime(cs)
+	rate := ch.interpret(cs, costs, mean)
+	if len(ch.servers) == 0 {
+		return out
+	}
+	level := ch.fill(rate)
+	idle := ch.idle(cs, mean)
+	for i := range ch.servers {
+		s := &ch.servers[i]
+		p := &out[s.index]
+		p.Expected = mean * max(level, s.timeAt(s.remaining))
+		if idle == nil {
+			p.Share = min(s.rateTo(level)/rate, 1)
+		} else if s == idle {
+			p.Share = 1
+		}
+	}
+	return out
+}
+
+// idle returns the first server that gets a request because it is idle, nil without one.
+func (ch *Chooser) idle(cs []Candidate, mean float64) *server {
+	for i := range ch.servers {
+		s := &ch.servers[i]
+		if c := &cs[s.index]; c.Idle && !c.OtherZone && !c.Suspect && s.remaining < s.limit && serviceTime(c, mean) < idleMaxSlowness*mean {
+			return s
+		}
+	}
+	return nil
+}
+
 // interpret sets the servers to choose from and returns the rate per second at which requests
 // are sent to the nearest ones.
 func (ch *Chooser) interpret(cs []Candidate, costs Costs, mean float64) (rate float64) {
--- a/io/berylapp/commands.go
+++ b/io/berylapp/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -16,6 +17,7 @@
 	"time"
 
 	"berylspan/core/berylconfig"
+	"berylspan/core/berylexplanation"
 	"berylspan/io/beryldaemon"
 	"berylspan/io/beryldemo"
 	"berylspan/io/beryllog"
@@ -137,7 +139,9 @@
 	fs := a.flags("explain", "[flags]")
 	local := fs.String("local", "127.0.0.1:8082", "local listener of the daemon")
 	call := fs.String("call", "", "id of a refused call (header Beryl-Call)")
-	workspace := fs.String("workspace", "", "workspace whose refused calls to show")
+	workspace := fs.String("workspace", "", "workspace whose refused calls to show, or of the request with -to")
+	to := fs.String("to", "", "HOST/PATH: tell where a request would go now, without sending it (plain HTTP; -local is the first internal port)")
+	asJSON := fs.Bool("json", false, "print JSON (with -to)")
 	if code, done := parse(fs, args); done {
 		return code
 	}
@@ -148,6 +152,9 @@
 	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
 	defer cancel()
 	q := url.Values{"call": {*call}, "workspace": {*workspace}}
+	if *to != "" {
+		q = url.Values{"to": {*to}, "workspace": {*workspace}}
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/explain?%s", *local, q.Encode()), http.NoBody)
 	if err != nil {
 		a.complain("%v", err)
@@ -159,6 +166,9 @@
 		return Failed
 	}
 	defer func() { _ = res.Body.Close() }()
+	if *to != "" && !*asJSON && res.StatusCode == http.StatusOK {
+		return a.sayExplanation(res.Body)
+	}
 	if _, err := io.Copy(a.out, res.Body); err != nil {
 		a.complain("%v", err)
 		return Failed
@@ -166,6 +176,17 @@
 	return OK
 }
 
+// sayExplanation prints what a daemon answered to -to.
+func (a *App) sayExplanation(body io.Reader) int {
+	var e berylexplanation.Explanation
+	if err := json.NewDecoder(body).Decode(&e); err != nil {
+		a.complain("the daemon does not explain requests: %v", err)
+		return Failed
+	}
+	a.say("%s", &e)
+	return OK
+}
+
 func (a *App) demo(ctx context.Context, args []string) int {
 	fs := a.flags("demo", "[flags]")
 	opt := beryldemo.Options{Out: a.out}
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -180,8 +180,22 @@
 	if q.outgoing.Trial {
 		return p.chooseTrial(q, st, list)
 	}
-	throttled := false
-	candidates := p.candidates[:0]
+	candidates, throttled := p.placementCandidates(now, q, st, list)
+	if throttled {
+		st.overloaded = true
+		berylplacement.ExcludeThrottled(candidates)
+	}
+	i, _ := p.chooser.Choose(candidates, placementCosts(), random)
+	if i < 0 {
+		return berylregistration.Registration{}, false
+	}
+	return list[i], true
+}
+
+// placementCandidates returns the candidates for a request, valid until the next call, and whether
+// one of them refuses new requests of the rule. The caller holds the lock.
+func (p *Proxy) placementCandidates(now time.Time, q *request, st *attemptState, list []berylregistration.Registration) (candidates []berylplacement.Candidate, throttled bool) {
+	candidates = p.candidates[:0]
 	for _, entry := range list {
 		c := p.tracker.Candidate(now, entry.ID, q.rule.Name, entry.Slots)
 		c.OtherZone = entry.Zone != p.Zone
@@ -196,15 +210,7 @@
 		candidates = append(candidates, c)
 	}
 	p.candidates = candidates
-	if throttled {
-		st.overloaded = true
-		berylplacement.ExcludeThrottled(candidates)
-	}
-	i, _ := p.chooser.Choose(candidates, placementCosts(), random)
-	if i < 0 {
-		return berylregistration.Registration{}, false
-	}
-	return list[i], true
+	return candidates, throttled
 }
 
 func placementCosts() berylplacement.Costs {
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -204,6 +204,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(statePath, s.serveState)
 	mux.Handle("/metrics", s.meter.handler())
+	mux.HandleFunc(explainPath, s.serveExplain)
 	return mux
 }
 
