--- a/core/berylplacement/choose.go
+++ b/core/berylplacement/choose.go
@@ -121,15 +121,19 @@
 // to take there in seconds, or -1 when all are excluded. Random returns a number in [0,1).
 func (ch *Chooser) Choose(cs []Candidate, costs Costs, random func() float64) (chosen int, expected float64) {
 	mean := meanServiceTime(cs)
-	rate := ch.interpret(cs, costs, mean)
+	newer := ch.interpret(cs, costs, mean)
 	if len(ch.servers) == 0 {
 		return -1, 0
 	}
 	if s := ch.idle(cs, mean); s != nil {
 		return s.index, mean * s.timeAt(s.remaining+1)
 	}
-	level := ch.fill(rate)
-	point := random() * rate
+	level := ch.fill(newer)
+	sum := 0.0
+	for i := range ch.servers {
+		sum += ch.servers[i].rateTo(level)
+	}
+	point := random() * sum
 	best := &ch.servers[0]
 	for i := range ch.servers {
 		s := &ch.servers[i]
@@ -155,18 +159,22 @@
 func (ch *Chooser) Prospects(cs []Candidate, costs Costs) []Prospect {
 	out := make([]Prospect, len(cs))
 	mean := meanServiceTime(cs)
-	rate := ch.interpret(cs, costs, mean)
+	newer := ch.interpret(cs, costs, mean)
 	if len(ch.servers) == 0 {
 		return out
 	}
-	level := ch.fill(rate)
+	level := ch.fill(newer)
+	sum := 0.0
+	for i := range ch.servers {
+		sum += ch.servers[i].rateTo(level)
+	}
 	idle := ch.idle(cs, mean)
 	for i := range ch.servers {
 		s := &ch.servers[i]
 		p := &out[s.index]
 		p.Expected = mean * max(level, s.timeAt(s.remaining))
 		if idle == nil {
-			p.Share = min(s.rateTo(level)/rate, 1)
+			p.Share = s.rateTo(level) / sum
 		} else if s == idle {
 			p.Share = 1
 		}
@@ -185,13 +193,13 @@
 	return nil
 }
 
-// interpret sets the servers to choose from and returns the rate per second at which requests
-// are sent to the nearest ones.
-func (ch *Chooser) interpret(cs []Candidate, costs Costs, mean float64) (rate float64) {
+// interpret sets the servers to choose from and returns how many requests have taken the places of
+// those that ended at the nearest servers since these reported, and the one to be placed.
+func (ch *Chooser) interpret(cs []Candidate, costs Costs, mean float64) (newer float64) {
 	home := nearest(cs)
 	utilisation := meanUtilisation(cs, home)
 	ch.servers = ch.servers[:0]
-	rate = 1 / mean // of this instance, as if the request to be placed were one of those that always run
+	newer = 1
 	for i := range cs {
 		c := &cs[i]
 		if c.Excluded {
@@ -208,7 +216,7 @@
 			// there is not replaced by what is sent from here.
 			others := max(busy-c.Own, 0) / busy
 			s.remaining = c.Own + others*left
-			rate += others * min(busy, s.limit) / t
+			newer += others * (busy - left)
 		}
 		switch {
 		case c.OtherRegion:
@@ -221,7 +229,7 @@
 		}
 		ch.servers = append(ch.servers, s)
 	}
-	return rate
+	return newer
 }
 
 // slowness returns how many service times a request is worth waiting for a server of mean speed
@@ -249,22 +257,22 @@
 	return (c.Busy - queue) * part
 }
 
-// fill returns the time up to which requests that arrive at a rate fill the servers if each goes
-// to the one with the lowest time.
-func (ch *Chooser) fill(rate float64) (level float64) {
+// fill returns the time up to which n requests fill the servers if each goes to the one with the
+// lowest time.
+func (ch *Chooser) fill(n float64) (level float64) {
 	low, high := math.Inf(1), math.Inf(1)
 	for i := range ch.servers {
 		s := &ch.servers[i]
 		low = min(low, s.timeAt(s.remaining))
-		high = min(high, s.timeAt(s.remaining+rate*s.window)) // One server alone could take them all.
+		high = min(high, s.timeAt(s.remaining+n)) // One server alone could take them all.
 	}
 	for range fillSteps {
 		level = (low + high) / 2
 		sum := 0.0
 		for i := range ch.servers {
-			sum += ch.servers[i].rateTo(level)
+			sum += ch.servers[i].roomTo(level)
 		}
-		if sum < rate {
+		if sum < n {
 			low = level
 		} else {
 			high = level
@@ -273,11 +281,14 @@
 	return high
 }
 
-// rateTo returns the rate at which requests fill the server up to a level.
-func (s *server) rateTo(level float64) float64 {
-	return max(0, utilisationAt(level-s.offset)*s.limit-s.remaining) / s.window
+// roomTo returns how many requests beyond the remaining ones fill the server up to a level.
+func (s *server) roomTo(level float64) float64 {
+	return max(0, utilisationAt(level-s.offset)*s.limit-s.remaining)
 }
 
+// rateTo returns the rate per second at which requests fill the server up to a level.
+func (s *server) rateTo(level float64) float64 { return s.roomTo(level) / s.window }
+
 // timeAt returns the time that a request takes at the server with the given number of requests.
 func (s *server) timeAt(busy float64) float64 { return timeAt(busy/s.limit) + s.offset }
 
--- a/core/berylplacement/herd_test.go
+++ b/core/berylplacement/herd_test.go
@@ -82,10 +82,10 @@
 // region before another one, and nothing leaves it while it has room.
 func TestOverflowToOtherDataCentresGrowsWithLoad(t *testing.T) {
 	costs := Costs{CrossZone: CrossZoneCost, CrossRegion: CrossRegionCost}
-	overflow := func(busy float64) (zone, region float64) {
+	overflow := func(busy, age float64) (zone, region float64) {
 		s := shares([]Candidate{
-			{Busy: busy, Limit: 20, ServiceTime: 0.1, Age: 0.2},
-			{Busy: busy, Limit: 20, ServiceTime: 0.1, Age: 0.2},
+			{Busy: busy, Limit: 20, ServiceTime: 0.1, Age: age},
+			{Busy: busy, Limit: 20, ServiceTime: 0.1, Age: age},
 			{Busy: 10, Limit: 20, ServiceTime: 0.1, Age: 0.2, OtherZone: true},
 			{Busy: 10, Limit: 20, ServiceTime: 0.1, Age: 0.2, OtherZone: true, OtherRegion: true},
 		}, costs)
@@ -93,7 +93,7 @@
 	}
 	last := 0.0
 	for _, busy := range []float64{5, 15, 20, 30, 40, 60} {
-		zone, region := overflow(busy)
+		zone, region := overflow(busy, 0.2)
 		require.GreaterOrEqual(t, zone, last-0.01, "busy %.0f", busy)
 		require.LessOrEqual(t, region, zone, "busy %.0f", busy)
 		if busy <= 20 {
@@ -103,6 +103,8 @@
 	}
 	require.Greater(t, last, 0.2)
 	require.Less(t, last, 0.8)
+	zone, _ := overflow(60, 1)
+	require.Greater(t, zone, 0.2, "a queue that one request after the other has joined is still there when its report is old")
 }
 
 // The servers of the own data centre have failed, and all its instances have the same old reports
