--- a/core/berylplacement/choose.go
+++ b/core/berylplacement/choose.go
@@ -105,7 +105,9 @@
 // Chooser chooses among candidates. It keeps its memory from one choice to the next and is not
 // safe for concurrent use.
 type Chooser struct {
-	servers []server
+	servers   []server
+	home      int     // distance of the nearest servers
+	near, far float64 // mean service times in seconds of the servers there and of all others
 }
 
 // server is a candidate that is not excluded.
@@ -120,8 +122,8 @@
 // Choose returns the index of a candidate for the next request and the time that it is expected
 // to take there in seconds, or -1 when all are excluded. Random returns a number in [0,1).
 func (ch *Chooser) Choose(cs []Candidate, costs Costs, random func() float64) (chosen int, expected float64) {
-	mean := meanServiceTime(cs)
-	newer := ch.interpret(cs, costs, mean)
+	mean := ch.measure(cs)
+	newer := ch.interpret(cs, costs)
 	if len(ch.servers) == 0 {
 		return -1, 0
 	}
@@ -158,8 +160,8 @@
 // Prospects returns the prospect of each candidate, the zero value for excluded ones.
 func (ch *Chooser) Prospects(cs []Candidate, costs Costs) []Prospect {
 	out := make([]Prospect, len(cs))
-	mean := meanServiceTime(cs)
-	newer := ch.interpret(cs, costs, mean)
+	mean := ch.measure(cs)
+	newer := ch.interpret(cs, costs)
 	if len(ch.servers) == 0 {
 		return out
 	}
@@ -195,9 +197,8 @@
 
 // interpret sets the servers to choose from and returns how many requests have taken the places of
 // those that ended at the nearest servers since these reported, and the one to be placed.
-func (ch *Chooser) interpret(cs []Candidate, costs Costs, mean float64) (newer float64) {
-	home := nearest(cs)
-	utilisation := meanUtilisation(cs, home)
+func (ch *Chooser) interpret(cs []Candidate, costs Costs) (newer float64) {
+	utilisation := meanUtilisation(cs, ch.home)
 	ch.servers = ch.servers[:0]
 	newer = 1
 	for i := range cs {
@@ -205,13 +206,17 @@
 		if c.Excluded {
 			continue
 		}
+		mean := ch.near
+		if c.distance() != ch.home {
+			mean = ch.far
+		}
 		t := serviceTime(c, mean)
-		s := server{index: i, limit: max(c.Limit, 1), remaining: c.Busy, offset: slowness(t / mean)}
+		s := server{index: i, limit: max(c.Limit, 1), remaining: c.Busy, offset: slowness(t/mean) + mean/ch.near - 1}
 		left, busy := s.age(c, t), c.Busy
 		if c.Age == UnknownAge {
 			busy = max(busy, utilisation*s.limit)
 		}
-		if c.distance() == home && busy > 0 {
+		if c.distance() == ch.home && busy > 0 {
 			// Servers further away have instances of their own that send there, so what ended
 			// there is not replaced by what is sent from here.
 			others := max(busy-c.Own, 0) / busy
@@ -220,12 +225,12 @@
 		}
 		switch {
 		case c.OtherRegion:
-			s.offset += costs.CrossRegion / mean
+			s.offset += costs.CrossRegion / ch.near
 		case c.OtherZone:
-			s.offset += costs.CrossZone / mean
+			s.offset += costs.CrossZone / ch.near
 		}
 		if c.Suspect {
-			s.offset += suspectPenalty / mean
+			s.offset += suspectPenalty / ch.near
 		}
 		ch.servers = append(ch.servers, s)
 	}
@@ -304,20 +309,32 @@
 	}
 }
 
-// meanServiceTime returns the harmonic mean of the service times that are known, that of a server
-// of mean speed.
-func meanServiceTime(cs []Candidate) float64 {
-	sum, n := 0.0, 0
+// measure sets where the nearest servers are and the mean service times, and returns that of the
+// nearest ones. Means are harmonic: those of servers of mean speed.
+func (ch *Chooser) measure(cs []Candidate) (near float64) {
+	ch.home = nearest(cs)
+	nearSum, nearCount, farSum, farCount := 0.0, 0.0, 0.0, 0.0
 	for i := range cs {
-		if cs[i].ServiceTime > 0 {
-			sum += 1 / cs[i].ServiceTime
-			n++
+		switch c := &cs[i]; {
+		case c.ServiceTime <= 0 || c.Excluded || c.Suspect:
+		case c.distance() == ch.home:
+			nearSum += 1 / c.ServiceTime
+			nearCount++
+		default:
+			farSum += 1 / c.ServiceTime
+			farCount++
 		}
 	}
-	if n == 0 {
-		return defaultServiceTime
+	ch.near, ch.far = defaultServiceTime, defaultServiceTime
+	switch {
+	case nearCount > 0 && farCount > 0:
+		ch.near, ch.far = nearCount/nearSum, farCount/farSum
+	case nearCount > 0:
+		ch.near, ch.far = nearCount/nearSum, nearCount/nearSum
+	case farCount > 0:
+		ch.near, ch.far = farCount/farSum, farCount/farSum
 	}
-	return float64(n) / sum
+	return ch.near
 }
 
 // distance is 0 in the own data centre, 1 in another one of the own region and 2 in another region.
--- a/core/berylplacement/herd_test.go
+++ b/core/berylplacement/herd_test.go
@@ -122,6 +122,20 @@
 	}
 }
 
+// The one server of the own data centre is slow. What its requests would wait longer for their
+// answer counts like the way to others.
+func TestSlowDataCentreHandsOverRequests(t *testing.T) {
+	share := func(serviceTime float64) float64 {
+		return shares([]Candidate{
+			{Busy: 10, Limit: 20, ServiceTime: serviceTime, Age: 0.1},
+			{Busy: 10, Limit: 20, ServiceTime: 0.1, Age: 0.1, OtherZone: true},
+			{Busy: 10, Limit: 20, ServiceTime: 0.1, Age: 0.1, OtherZone: true},
+		}, Costs{CrossZone: CrossZoneCost})[0]
+	}
+	require.InDelta(t, 1, share(0.14), 0.01)
+	require.Less(t, share(0.2), 0.5)
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{3, 10, 40} {
 		b.Run(strconv.Itoa(n)+" servers", func(b *testing.B) {
