--- a/core/berylplacement/choose.go
+++ b/core/berylplacement/choose.go
@@ -105,7 +105,9 @@
 // Chooser chooses among candidates. It keeps its memory from one choice to the next and is not
 // safe for concurrent use.
 type Chooser struct {
-	servers []server
+	servers   []server
+	home      int     // distance of the nearest servers
+	near, far float64 // mean service times in seconds of the servers there and of all others
 }
 
 // server is a candidate that is not excluded.
@@ -120,19 +122,20 @@
 // Choose returns the index of a candidate for the next request and the time that it is expected
 // to take there in seconds, or -1 when all are excluded. Random returns a number in [0,1).
 func (ch *Chooser) Choose(cs []Candidate, costs Costs, random func() float64) (chosen int, expected float64) {
-	mean := meanServiceTime(cs)
-	rate := ch.interpret(cs, costs, mean)
+	mean := ch.measure(cs)
+	newer := ch.interpret(cs, costs)
 	if len(ch.servers) == 0 {
 		return -1, 0
 	}
+	if s := ch.idle(cs, mean); s != nil {
+		return s.index, mean * s.timeAt(s.remaining+1)
+	}
+	level := ch.fill(newer)
+	sum := 0.0
 	for i := range ch.servers {
-		s := &ch.servers[i]
-		if c := &cs[s.index]; c.Idle && !c.OtherZone && !c.Suspect && s.remaining < s.limit && serviceTime(c, mean) < idleMaxSlowness*mean {
-			return s.index, mean * s.timeAt(s.remaining+1)
-		}
+		sum += ch.servers[i].rateTo(level)
 	}
-	level := ch.fill(rate)
-	point := random() * rate
+	point := random() * sum
 	best := &ch.servers[0]
 	for i := range ch.servers {
 		s := &ch.servers[i]
@@ -148,43 +151,90 @@
 	return best.index, mean * level
 }
 
-// interpret sets the servers to choose from and returns the rate per second at which requests
-// are sent to the nearest ones.
-func (ch *Chooser) interpret(cs []Candidate, costs Costs, mean float64) (rate float64) {
-	home := nearest(cs)
-	utilisation := meanUtilisation(cs, home)
+// Prospect is what a candidate can expect of the next requests.
+type Prospect struct {
+	Share    float64 // probability that it is chosen
+	Expected float64 // seconds that a request is expected to take there, costs included
+}
+
+// Prospects returns the prospect of each candidate, the zero value for excluded ones.
+func (ch *Chooser) Prospects(cs []Candidate, costs Costs) []Prospect {
+	out := make([]Prospect, len(cs))
+	mean := ch.measure(cs)
+	newer := ch.interpret(cs, costs)
+	if len(ch.servers) == 0 {
+		return out
+	}
+	level := ch.fill(newer)
+	sum := 0.0
+	for i := range ch.servers {
+		sum += ch.servers[i].rateTo(level)
+	}
+	idle := ch.idle(cs, mean)
+	for i := range ch.servers {
+		s := &ch.servers[i]
+		p := &out[s.index]
+		p.Expected = mean * max(level, s.timeAt(s.remaining))
+		if idle == nil {
+			p.Share = s.rateTo(level) / sum
+		} else if s == idle {
+			p.Share = 1
+		}
+	}
+	return out
+}
+
+// idle returns the first server that gets a request because it is idle, nil without one.
+func (ch *Chooser) idle(cs []Candidate, mean float64) *server {
+	for i := range ch.servers {
+		s := &ch.servers[i]
+		if c := &cs[s.index]; c.Idle && !c.OtherZone && !c.Suspect && s.remaining < s.limit && serviceTime(c, mean) < idleMaxSlowness*mean {
+			return s
+		}
+	}
+	return nil
+}
+
+// interpret sets the servers to choose from and returns how many requests have taken the places of
+// those that ended at the nearest servers since these reported, and the one to be placed.
+func (ch *Chooser) interpret(cs []Candidate, costs Costs) (newer float64) {
+	utilisation := meanUtilisation(cs, ch.home)
 	ch.servers = ch.servers[:0]
-	rate = 1 / mean // of this instance, as if the request to be placed were one of those that always run
+	newer = 1
 	for i := range cs {
 		c := &cs[i]
 		if c.Excluded {
 			continue
 		}
+		mean := ch.near
+		if c.distance() != ch.home {
+			mean = ch.far
+		}
 		t := serviceTime(c, mean)
-		s := server{index: i, limit: max(c.Limit, 1), remaining: c.Busy, offset: slowness(t / mean)}
+		s := server{index: i, limit: max(c.Limit, 1), remaining: c.Busy, offset: slowness(t/mean) + mean/ch.near - 1}
 		left, busy := s.age(c, t), c.Busy
 		if c.Age == UnknownAge {
 			busy = max(busy, utilisation*s.limit)
 		}
-		if c.distance() == home && busy > 0 {
+		if c.distance() == ch.home && busy > 0 {
 			// Servers further away have instances of their own that send there, so what ended
 			// there is not replaced by what is sent from here.
 			others := max(busy-c.Own, 0) / busy
 			s.remaining = c.Own + others*left
-			rate += others * min(busy, s.limit) / t
+			newer += others * (busy - left)
 		}
 		switch {
 		case c.OtherRegion:
-			s.offset += costs.CrossRegion / mean
+			s.offset += costs.CrossRegion / ch.near
 		case c.OtherZone:
-			s.offset += costs.CrossZone / mean
+			s.offset += costs.CrossZone / ch.near
 		}
 		if c.Suspect {
-			s.offset += suspectPenalty / mean
+			s.offset += suspectPenalty / ch.near
 		}
 		ch.servers = append(ch.servers, s)
 	}
-	return rate
+	return newer
 }
 
 // slowness returns how many service times a request is worth waiting for a server of mean speed
@@ -212,22 +262,22 @@
 	return (c.Busy - queue) * part
 }
 
-// fill returns the time up to which requests that arrive at a rate fill the servers if each goes
-// to the one with the lowest time.
-func (ch *Chooser) fill(rate float64) (level float64) {
+// fill returns the time up to which n requests fill the servers if each goes to the one with the
+// lowest time.
+func (ch *Chooser) fill(n float64) (level float64) {
 	low, high := math.Inf(1), math.Inf(1)
 	for i := range ch.servers {
 		s := &ch.servers[i]
 		low = min(low, s.timeAt(s.remaining))
-		high = min(high, s.timeAt(s.remaining+rate*s.window)) // One server alone could take them all.
+		high = min(high, s.timeAt(s.remaining+n)) // One server alone could take them all.
 	}
 	for range fillSteps {
 		level = (low + high) / 2
 		sum := 0.0
 		for i := range ch.servers {
-			sum += ch.servers[i].rateTo(level)
+			sum += ch.servers[i].roomTo(level)
 		}
-		if sum < rate {
+		if sum < n {
 			low = level
 		} else {
 			high = level
@@ -236,11 +286,14 @@
 	return high
 }
 
-// rateTo returns the rate at which requests fill the server up to a level.
-func (s *server) rateTo(level float64) float64 {
-	return max(0, utilisationAt(level-s.offset)*s.limit-s.remaining) / s.window
+// roomTo returns how many requests beyond the remaining ones fill the server up to a level.
+func (s *server) roomTo(level float64) float64 {
+	return max(0, utilisationAt(level-s.offset)*s.limit-s.remaining)
 }
 
+// rateTo returns the rate per second at which requests fill the server up to a level.
+func (s *server) rateTo(level float64) float64 { return s.roomTo(level) / s.window }
+
 // timeAt returns the time that a request takes at the server with the given number of requests.
 func (s *server) timeAt(busy float64) float64 { return timeAt(busy/s.limit) + s.offset }
 
@@ -256,20 +309,32 @@
 	}
 }
 
-// meanServiceTime returns the harmonic mean of the service times that are known, that of a server
-// of mean speed.
-func meanServiceTime(cs []Candidate) float64 {
-	sum, n := 0.0, 0
+// measure sets where the nearest servers are and the mean service times, and returns that of the
+// nearest ones. Means are harmonic: those of servers of mean speed.
+func (ch *Chooser) measure(cs []Candidate) (near float64) {
+	ch.home = nearest(cs)
+	nearSum, nearCount, farSum, farCount := 0.0, 0.0, 0.0, 0.0
 	for i := range cs {
-		if cs[i].ServiceTime > 0 {
-			sum += 1 / cs[i].ServiceTime
-			n++
+		switch c := &cs[i]; {
+		case c.ServiceTime <= 0 || c.Excluded || c.Suspect:
+		case c.distance() == ch.home:
+			nearSum += 1 / c.ServiceTime
+			nearCount++
+		default:
+			farSum += 1 / c.ServiceTime
+			farCount++
 		}
 	}
-	if n == 0 {
-		return defaultServiceTime
+	ch.near, ch.far = defaultServiceTime, defaultServiceTime
+	switch {
+	case nearCount > 0 && farCount > 0:
+		ch.near, ch.far = nearCount/nearSum, farCount/farSum
+	case nearCount > 0:
+		ch.near, ch.far = nearCount/nearSum, nearCount/nearSum
+	case farCount > 0:
+		ch.near, ch.far = farCount/farSum, farCount/farSum
 	}
-	return float64(n) / sum
+	return ch.near
 }
 
 // distance is 0 in the own data centre, 1 in another one of the own region and 2 in another region.
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -9,6 +9,7 @@
 
 	"berylspan/core/berylattempt"
 	"berylspan/core/berylbackoff"
+	"berylspan/core/berylcoldstart"
 	"berylspan/core/beryllifetime"
 	"berylspan/core/berylplacement"
 	"berylspan/core/berylregistration"
@@ -198,14 +199,33 @@
 // chooseFrom returns the best of the instances in list that has not been tried. The caller holds
 // the lock.
 func (p *Proxy) chooseFrom(q *request, st *attemptState, list []berylregistration.Registration) (berylregistration.Registration, bool) {
-	now, regions := time.Now(), p.Regions()
+	now := time.Now()
 	if q.outgoing.Trial {
 		return p.chooseTrial(q, st, list)
 	}
 	coldStart := p.coldStart(q.outgoing.Service)
-	throttled := false
+	candidates, throttled, withheld := p.placementCandidates(now, q, st, list, coldStart)
+	if throttled {
+		st.overloaded = true
+		berylplacement.ExcludeThrottled(candidates)
+	}
+	i, _ := p.chooser.Choose(candidates, placementCosts(), random)
+	if i < 0 {
+		if i = st.offerWithheld(withheld); i < 0 {
+			return berylregistration.Registration{}, false
+		}
+	}
+	p.recordOffer(now, list[i], coldStart)
+	return list[i], true
+}
+
+// placementCandidates returns the candidates for a request, valid until the next call, whether one
+// of them refuses new requests of the rule, and the index of a cold server that is excluded only
+// because the share of this instance is used up, -1 without one. The caller holds the lock.
+func (p *Proxy) placementCandidates(now time.Time, q *request, st *attemptState, list []berylregistration.Registration, coldStart berylcoldstart.ColdStart) (candidates []berylplacement.Candidate, throttled bool, withheld int) {
+	regions := p.Regions()
 	withheld, withheldCount := -1, 0
-	candidates := p.candidates[:0]
+	candidates = p.candidates[:0]
 	for i, entry := range list {
 		c := p.tracker.Candidate(now, entry.ID, q.rule.Name, entry.Slots)
 		c.OtherZone = entry.Zone != p.Zone
@@ -228,18 +248,7 @@
 		candidates = append(candidates, c)
 	}
 	p.candidates = candidates
-	if throttled {
-		st.overloaded = true
-		berylplacement.ExcludeThrottled(candidates)
-	}
-	i, _ := p.chooser.Choose(candidates, placementCosts(), random)
-	if i < 0 {
-		if i = st.offerWithheld(withheld); i < 0 {
-			return berylregistration.Registration{}, false
-		}
-	}
-	p.recordOffer(now, list[i], coldStart)
-	return list[i], true
+	return candidates, throttled, withheld
 }
 
 func placementCosts() berylplacement.Costs {
