Bound how long an answer on the internal ports may stay unread

Cause: a reader of the state or the metrics that takes nothing held the answer and its connection for as long as it liked.

Change: 10 s from the end of the head of its request.

--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -195,12 +195,13 @@
 	pullDial      = 400 * time.Millisecond // to another instance, whose knowledge is read
 	pullIdle      = 5 * time.Second
 	headerTimeout = 5 * time.Second
+	answerTimeout = 10 * time.Second // on the internal ports, from the end of the head of a request
 	idleTimeout   = time.Minute
 	maxHeadSize   = 16 << 10 // bytes of the head of a request or response on the internal ports
 )
 
 func (s *Sidecar) serve(ln net.Listener, h http.Handler) {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadSize}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, WriteTimeout: answerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadSize}
 	s.servers = append(s.servers, srv)
 	s.loops.Go(func() {
 		// Ends with Close; a listener that fails shows in the log of readiness.
