--- a/core/berylchain/gate.go
+++ b/core/berylchain/gate.go
@@ -25,7 +25,8 @@
 // use.
 type Gate struct {
 	shedding float64   // largest share of arrivals that a service of the fleet rejects
-	since    time.Time // when that became known
+	since    time.Time // when it was first known that one does
+	ended    time.Time // when it was known that none does any more
 	kinds    map[kind]*state
 }
 
@@ -44,6 +45,7 @@
 }
 
 const (
+	reopenTime       = 1500 * time.Millisecond
 	stepDelay        = 300 * time.Millisecond // by which more important requests are limited later for each step of importance
 	minWindow        = 150 * time.Millisecond
 	longWindow       = 600 * time.Millisecond
@@ -64,14 +66,15 @@
 func New() *Gate { return &Gate{kinds: map[kind]*state{}} }
 
 // SetShedding sets the largest share of arrivals that all servers of a service reject.
-// Everything is admitted again when no service sheds any more.
+// When no service sheds any more, the admitted share grows to everything within reopenTime: all
+// at once would overload the service that has just recovered.
 func (g *Gate) SetShedding(now time.Time, share float64) {
 	before := g.isShedding()
 	g.shedding = share
 	switch {
-	case !g.isShedding():
-		clear(g.kinds)
-	case !before:
+	case before && !g.isShedding():
+		g.ended = now
+	case !before && g.isShedding():
 		g.since = now
 	}
 }
@@ -93,16 +96,29 @@
 	if s == nil || s.share >= 1 {
 		return true
 	}
-	if now.Sub(s.windowStart) >= longWindow {
+	share := s.share
+	switch {
+	case !g.isShedding():
+		if share = g.reopened(now, share); share >= 1 {
+			clear(g.kinds)
+			return true
+		}
+	case now.Sub(s.windowStart) >= longWindow:
 		s.adjust(now, CarriedShare(g.shedding), importance)
+		share = s.share
 	}
-	if s.credit += s.share; s.credit < 1 {
+	if s.credit += share; s.credit < 1 {
 		return false
 	}
 	s.credit--
 	return true
 }
 
+// reopened returns what an admitted share has grown to since no service sheds any more.
+func (g *Gate) reopened(now time.Time, share float64) float64 {
+	return share + (1-share)*min(1, now.Sub(g.ended).Seconds()/reopenTime.Seconds())
+}
+
 // Share returns the share of the requests of a rule and importance that is admitted.
 func (g *Gate) Share(rule string, importance int) float64 {
 	if s := g.kinds[kind{rule, importance}]; s != nil {
--- a/io/berylrunner/shedding_test.go
+++ b/io/berylrunner/shedding_test.go
@@ -59,6 +59,7 @@
 	reply := r.Run(context.Background(), newRequest(9000, "fail", true))
 	require.Equal(t, berylattempt.Answered, reply.Outcome)
 	r.SetShedding(0)
+	time.Sleep(1600 * time.Millisecond) // The admitted share grows for 1.5 s.
 	run(200 * time.Millisecond)
 	require.Zero(t, refused.Load())
 }
