--- a/core/berylchain/gate.go
+++ b/core/berylchain/gate.go
@@ -75,6 +75,9 @@
 	case before && !g.isShedding():
 		g.ended = now
 	case !before && g.isShedding():
+		if now.Sub(g.ended) >= reopenTime {
+			clear(g.kinds)
+		}
 		g.since = now
 	}
 }
