--- a/core/berylsimulation/instance.go
+++ b/core/berylsimulation/instance.go
@@ -122,7 +122,7 @@
 			in.tracker.Throttled(now, to.id, q.rule.Name)
 		}
 		if r.outcome == succeeded {
-			in.tracker.Succeeded(now, to.id)
+			in.tracker.Succeeded(now, to.id, now)
 		}
 	default:
 		in.tracker.Failed(now, to.id)
--- a/core/beryltracker/tracker.go
+++ b/core/beryltracker/tracker.go
@@ -30,6 +30,7 @@
 	serviceTimes     map[string]float64   // moving averages in seconds, by rule, without the slowdown
 	throttledUntil   map[string]time.Time // by rule, until when no new requests of it are sent
 	suspectUntil     time.Time
+	refusedAt        time.Time
 	failures         int                      // in a row, without those while the instance was suspect
 	status           berylserverstatus.Status // what the server said in its last answer
 	statusOf         int64                    // start of the server that said it
@@ -121,9 +122,21 @@
 	in.suspectUntil = now.Add(min(d, maxSuspectTime))
 }
 
-// Succeeded records that an instance answered a request.
-func (t *Tracker) Succeeded(now time.Time, id string) {
+// Refused records a request that the server refused, or a connection that it did. Load pattern:
+// servers that go down and up, and answer what they have while they refuse what comes. They look
+// empty, so each answer to an earlier request would make them the first choice.
+func (t *Tracker) Refused(now time.Time, id string) {
+	t.Failed(now, id)
+	t.get(now, id).refusedAt = now
+}
+
+// Succeeded records that an instance answered a request that was sent at the given time. It says
+// nothing of an instance that has refused requests since.
+func (t *Tracker) Succeeded(now time.Time, id string, sent time.Time) {
 	in := t.get(now, id)
+	if sent.Before(in.refusedAt) {
+		return
+	}
 	in.failures = 0
 	in.suspectUntil = time.Time{}
 }
--- a/core/beryltracker/tracker_test.go
+++ b/core/beryltracker/tracker_test.go
@@ -37,3 +37,22 @@
 	tr.LoadReported(now, "i", "", 1, 10, 0, 0)
 	require.InDelta(t, 0.15, serviceTime(), 0.01, "unknown changes nothing")
 }
+
+// A server goes down while it runs requests: it answers them and refuses what comes. As it is
+// empty then, it got every next request until the one after was refused.
+func TestAnswerToEarlierRequestDoesNotClearRefusal(t *testing.T) {
+	now := time.Unix(100, 0)
+	tr := New()
+	suspect := func() bool { return tr.Candidate(now, "i", "r", 10).Suspect }
+	sent := now
+	now = now.Add(100 * time.Millisecond)
+	tr.Refused(now, "i")
+	now = now.Add(100 * time.Millisecond)
+	tr.Succeeded(now, "i", sent)
+	require.True(t, suspect())
+	tr.Succeeded(now, "i", now.Add(-50*time.Millisecond))
+	require.False(t, suspect())
+	tr.Failed(now, "i")
+	tr.Succeeded(now, "i", now.Add(-time.Millisecond))
+	require.False(t, suspect(), "a single answer that could not be used says less")
+}
--- a/io/berylproxy/check.go
+++ b/io/berylproxy/check.go
@@ -44,6 +44,7 @@
 	elapsed    time.Duration       // estimate of the time spent on it before it came to this instance
 
 	attempts  int
+	sentAt    time.Time     // of the last attempt
 	serverID  string        // backend server of the last attempt
 	queueTime time.Duration // spent in the queues of backend servers
 	reason    string
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -229,7 +229,7 @@
 // attempt sends the request to one instance and records the outcome.
 func (p *Proxy) attempt(ctx context.Context, q *request, to berylregistration.Registration) *berylreply.Reply {
 	host := to.Host()
-	p.recordSent(to.ID)
+	q.sentAt = p.recordSent(to.ID)
 	reply := berylreply.NewFailure(berylattempt.Unknown, berylreply.ReasonPanic) // unless the attempt returns
 	defer func() { p.recordAttempt(q, to.ID, reply) }()
 	if host == p.Host {
@@ -240,10 +240,12 @@
 	return reply
 }
 
-func (p *Proxy) recordSent(id string) {
+func (p *Proxy) recordSent(id string) (now time.Time) {
+	now = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tracker.Sent(time.Now(), id)
+	p.tracker.Sent(now, id)
+	return now
 }
 
 // recordAttempt records the outcome of an attempt at the backend server with the given ID.
@@ -257,7 +259,7 @@
 	}
 	switch {
 	case reply.Outcome == berylattempt.Answered:
-		p.tracker.Succeeded(now, id)
+		p.tracker.Succeeded(now, id, q.sentAt)
 		p.recordStatus(now, q, reply)
 	case reply.Reason == berylreply.ReasonServerLeaving:
 		status := p.tracker.Status(id, q.outgoing.ServerStartMs)
@@ -265,9 +267,10 @@
 		p.tracker.StatusReported(now, id, q.outgoing.ServerStartMs, status)
 	case reply.Reason == berylreply.ReasonThrottled:
 		p.tracker.Throttled(now, id, q.rule.Name)
-	case reply.Reason == berylreply.ReasonNoConnection, reply.Reason == berylreply.ReasonShuttingDown, reply.Reason == berylreply.ReasonWrongServer,
-		reply.Reason == berylreply.ReasonPeerSilent, reply.Reason == berylreply.ReasonRejected, reply.Reason == berylreply.ReasonOverlong,
-		reply.Reason == berylreply.ReasonNoID:
+	case reply.Reason == berylreply.ReasonNoConnection, reply.Reason == berylreply.ReasonRejected:
+		p.tracker.Refused(now, id)
+	case reply.Reason == berylreply.ReasonShuttingDown, reply.Reason == berylreply.ReasonWrongServer,
+		reply.Reason == berylreply.ReasonPeerSilent, reply.Reason == berylreply.ReasonOverlong, reply.Reason == berylreply.ReasonNoID:
 		p.tracker.Failed(now, id)
 	}
 }
