--- a/io/berylserver/limits_test.go
+++ b/io/berylserver/limits_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -121,6 +122,7 @@
 	for name, c := range clients(t) {
 		t.Run(name, func(t *testing.T) {
 			ended := make(chan struct{})
+			var writes atomic.Int32
 			f := startLimitedFace(t, berylmemorybudget.Limits{Total: 1 << 20}, berylconnectionlimit.Limit{}, func(w http.ResponseWriter, r *http.Request) {
 				if r.Header.Get("X-0") != "" {
 					return
@@ -130,6 +132,7 @@
 					if _, err := w.Write(make([]byte, 400<<10)); err != nil {
 						return
 					}
+					writes.Add(1)
 				}
 			})
 			r, err := http.NewRequest(http.MethodGet, "http://"+f.addr+"/", nil)
@@ -137,9 +140,14 @@
 			resp, err := c.Do(r)
 			require.NoError(t, err)
 			defer func() { _ = resp.Body.Close() }() // It was not read.
-			require.Eventually(t, func() bool { return f.memory.Held() > 400<<10 }, 5*time.Second, time.Millisecond)
+			last := int32(-1)
+			require.Eventually(t, func() bool {
+				stands := writes.Load() == last && f.memory.Held() > 400<<10
+				last = writes.Load()
+				return stands
+			}, 10*time.Second, 300*time.Millisecond, "a write waits for the caller")
 			fill := f.memory.Open("", nil)
-			require.Eventually(t, func() bool { return f.memory.Held() > 400<<10 && fill.Charge(1<<20-f.memory.Held()) }, 5*time.Second, time.Millisecond)
+			require.True(t, fill.Charge(1<<20-f.memory.Held()))
 			status, err := post(context.Background(), c, f.addr, 1, "")
 			require.NoError(t, err)
 			require.Equal(t, http.StatusOK, status)
