Don't use the connection to an instance again that it is about to close

Callers saw: 502 for a request that another instance had never read, if it followed an upload that was refused there, or a refusal during a stop.

Cause: after a reply to a request whose body it did not read, and after one that says that it is shutting down, an instance closes the connection. The sender put the connection back once it had written the body itself, and could use it before the end arrived. The next request was discarded unread, and its outcome counted as unknown.

Change: a connection is not kept after a request with a streamed body, nor after a reply of an instance that is shutting down.

--- a/io/berylmesh/mesh.go
+++ b/io/berylmesh/mesh.go
@@ -159,7 +159,7 @@
 		}
 		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonNoConnection)
 	}
-	bodyWritten := m.writeBody(c, req)
+	m.writeBody(c, req)
 	reply, err := m.readReply(c, req.ID)
 	if err != nil {
 		stop()
@@ -169,12 +169,9 @@
 		}
 		return berylreply.NewFailure(berylattempt.Unknown, failureReason(ctx))
 	}
-	reusable := false
-	select {
-	case err := <-bodyWritten:
-		reusable = err == nil
-	default: // The instance replied before it had the whole body.
-	}
+	// An instance closes the connection after a reply to a request whose body it did not read,
+	// and when it is shutting down. The sender might use it again before it notices that.
+	reusable := req.Stream == nil && reply.Reason != berylreply.ReasonShuttingDown
 	if reply.Stream != nil {
 		reply.Stream = berylbody.New(reply.Stream, func(complete bool) {
 			if stop() && complete && reusable {
@@ -193,13 +190,11 @@
 	return reply
 }
 
-// writeBody starts to send the rest of a streamed body and returns the channel that gets the
-// result. The reply may come earlier, for example if the instance refuses the request.
-func (m *Mesh) writeBody(c *conn, req *berylrequest.Request) <-chan error {
-	written := make(chan error, 1)
+// writeBody starts to send the rest of a streamed body. The reply may come earlier, for example
+// if the instance refuses the request.
+func (m *Mesh) writeBody(c *conn, req *berylrequest.Request) {
 	if req.Stream == nil {
-		written <- nil
-		return written
+		return
 	}
 	stream := req.Stream // The sender may set another one for a later attempt.
 	go func() {          // Ends at the latest when the connection is closed and the stream has ended.
@@ -209,9 +204,7 @@
 		if errors.As(err, &source) || errors.Is(err, berylpanic.ErrPanic) {
 			c.close() // The instance must not take the incomplete body for a complete one.
 		}
-		written <- err
 	}()
-	return written
 }
 
 func failureReason(ctx context.Context) string {
