Leave what is to be sent to callers to the kernel

Cause: the bound on memory for callers also set the send buffers of their connections to 128 KB.

Change: only the receive buffers are bounded. What the kernel holds to be sent is bounded by its own settings.

--- a/io/berylsidecar/limited.go
+++ b/io/berylsidecar/limited.go
@@ -17,7 +17,7 @@
 
 	limitedPeer = "request of an instance refused" // there was no memory for it
 
-	callerSocketBytes = 128 << 10 // that the kernel holds at most for a caller's connection, in each direction
+	callerSocketBytes = 128 << 10 // received and not yet read, that the kernel holds at most for a connection of a caller
 )
 
 func memoryLimits(set Settings) berylmemorybudget.Limits {
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -159,7 +159,7 @@
 	s.cancel = cancel
 	set := s.set.Load()
 	lc := &net.ListenConfig{Control: berylmesh.SetTCPUserTimeout}
-	callers, err := (&net.ListenConfig{Control: berylsocket.SetBuffers(callerSocketBytes)}).Listen(ctx, "tcp", set.Callers)
+	callers, err := (&net.ListenConfig{Control: berylsocket.SetReadBuffer(callerSocketBytes)}).Listen(ctx, "tcp", set.Callers)
 	if err != nil {
 		return eris.Wrap(err, "callers")
 	}
--- a/io/berylsocket/buffers.go
+++ b/io/berylsocket/buffers.go
@@ -2,14 +2,15 @@
 
 import "syscall"
 
-// SetBuffers returns a function for net.ListenConfig.Control that bounds how many bytes the
-// kernel holds for each connection that is accepted, in each direction.
-func SetBuffers(n int) func(network, address string, c syscall.RawConn) error {
+// SetReadBuffer returns a function for net.ListenConfig.Control that bounds how many bytes the
+// kernel holds of what was received on each connection that is accepted. What is to be sent is
+// left to the kernel: at the end of the process it still delivers the rest of an answer to a
+// caller that reads slowly.
+func SetReadBuffer(n int) func(network, address string, c syscall.RawConn) error {
 	return func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
 			// Connections work without it too. The kernel doubles the value.
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, n/2)
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, n/2)
 		})
 	}
 }
