Keep the connection to an instance that refuses because it is stopping

Callers saw: unknown outcomes at a planned stop (TestPlannedStopLeavesOutcomeUnknownToOtherInstances).

Cause: since the sender closed its connection after such a refusal and opened new ones, which the stopping instance closes without a reply.

Change: only connections of streamed request bodies are not used again.

--- a/io/berylmesh/mesh.go
+++ b/io/berylmesh/mesh.go
@@ -169,9 +169,9 @@
 		}
 		return berylreply.NewFailure(berylattempt.Unknown, failureReason(ctx))
 	}
-	// An instance closes the connection after a reply to a request whose body it did not read,
-	// and when it is shutting down. The sender might use it again before it notices that.
-	reusable := req.Stream == nil && reply.Reason != berylreply.ReasonShuttingDown
+	// An instance closes the connection after a reply to a request whose body it did not read.
+	// The sender might use it again before it notices that.
+	reusable := req.Stream == nil
 	if reply.Stream != nil {
 		reply.Stream = berylbody.New(reply.Stream, func(complete bool) {
 			if stop() && complete && reusable {
