Name the times of the gate by what they say, set up the test server once

Cause: in core/berylchain, ended was a time in Gate and a count in its states; the limits test of berylhttpserver repeated how the other tests start and stop a server.

Change: sheddingSince and soundSince; runServer serves both tests. No check changed.

--- a/core/berylchain/gate.go
+++ b/core/berylchain/gate.go
@@ -24,10 +24,10 @@
 // Gate decides which new requests begin on one backend server. It is not safe for concurrent
 // use.
 type Gate struct {
-	shedding float64   // largest share of arrivals that a service of the fleet rejects
-	since    time.Time // when it was first known that one does
-	ended    time.Time // when it was known that none does any more
-	kinds    map[kind]*state
+	shedding      float64   // largest share of arrivals that a service of the fleet rejects
+	sheddingSince time.Time // when it was first known that one does
+	soundSince    time.Time // when it was known that none does any more
+	kinds         map[kind]*state
 }
 
 // kind is a group of requests with the same chain and importance.
@@ -73,12 +73,12 @@
 	g.shedding = share
 	switch {
 	case before && !g.isShedding():
-		g.ended = now
+		g.soundSince = now
 	case !before && g.isShedding():
-		if now.Sub(g.ended) >= reopenTime {
+		if now.Sub(g.soundSince) >= reopenTime {
 			clear(g.kinds)
 		}
-		g.since = now
+		g.sheddingSince = now
 	}
 }
 
@@ -119,7 +119,7 @@
 
 // reopened returns what an admitted share has grown to since no service sheds any more.
 func (g *Gate) reopened(now time.Time, share float64) float64 {
-	return share + (1-share)*min(1, now.Sub(g.ended).Seconds()/reopenTime.Seconds())
+	return share + (1-share)*min(1, now.Sub(g.soundSince).Seconds()/reopenTime.Seconds())
 }
 
 // Share returns the share of the requests of a rule and importance that is admitted.
@@ -132,7 +132,7 @@
 
 // Ended records the end of an admitted request. failed is set if its run failed.
 func (g *Gate) Ended(now, started time.Time, rule string, importance int, failed bool) {
-	if !g.isShedding() || now.Sub(g.since) < time.Duration(importance)*stepDelay {
+	if !g.isShedding() || now.Sub(g.sheddingSince) < time.Duration(importance)*stepDelay {
 		return
 	}
 	k := kind{rule, importance}
--- a/io/berylhttpserver/limited_test.go
+++ b/io/berylhttpserver/limited_test.go
@@ -47,15 +47,7 @@
 			s.kinds[l]++
 			s.mu.Unlock()
 		}))
-	done := make(chan struct{})
-	go func() { s.Run(context.Background()); close(done) }()
-	t.Cleanup(func() { s.Close(); <-done })
-	return s, func() net.Conn {
-		c, err := net.Dial("tcp", ln.Addr().String())
-		require.NoError(t, err)
-		t.Cleanup(func() { _ = c.Close() })
-		return c
-	}
+	return s, runServer(t, s.Server, ln)
 }
 
 func send(t *testing.T, c net.Conn, s string) {
--- a/io/berylhttpserver/server_test.go
+++ b/io/berylhttpserver/server_test.go
@@ -24,10 +24,16 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := New(ln, handle, func(r *Request) bool { return r.Method == http.MethodPost }, testLimits)
+	return s, runServer(t, s, ln)
+}
+
+// runServer runs s on ln until the test ends and returns a function that connects to it.
+func runServer(t *testing.T, s *Server, ln net.Listener) (dial func() net.Conn) {
+	t.Helper()
 	done := make(chan struct{})
 	go func() { s.Run(context.Background()); close(done) }()
 	t.Cleanup(func() { s.Close(); <-done })
-	return s, func() net.Conn {
+	return func() net.Conn {
 		c, err := net.Dial("tcp", ln.Addr().String())
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = c.Close() })
