Don't end a discarded request body as if it were whole

Cause: after the answer, the server discards what was not read of a long request body. What still read the stream then got io.EOF, although bytes had been discarded or were never read, and a chunked body would have ended there as if it were whole. Today the connection to the backend server is closed before that, so nothing is sent.

Change: the stream keeps the error that ended it and returns it again; after a discard that is an error of its own.

--- a/io/berylhttpserver/body.go
+++ b/io/berylhttpserver/body.go
@@ -12,39 +12,49 @@
 type bodyStream struct {
 	mu       sync.Mutex
 	r        io.Reader
-	done     chan struct{} // closed when ended is set
+	done     chan struct{} // closed when err is set
+	err      error         // after which nothing more is read; io.EOF if all of the body was passed on
 	complete bool          // whether the body was read to its end
-	ended    bool          // nothing more is read
 }
 
-var errBodyTooLong = errors.New("request body too long") //nolint:gochecknoglobals // A sentinel.
+var (
+	errBodyTooLong   = errors.New("request body too long")                  //nolint:gochecknoglobals // A sentinel.
+	errBodyDiscarded = errors.New("rest of the request body was discarded") //nolint:gochecknoglobals // A sentinel.
+)
 
-// Read reads from the body and records how it ended.
+// Read reads from the body. After an error it returns the same error again: a body that broke off
+// or was discarded must not be taken for a whole one.
 func (b *bodyStream) Read(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.ended {
-		return 0, io.EOF
+	if b.err != nil {
+		return 0, b.err
 	}
 	n, err := b.r.Read(p)
 	if err != nil {
-		b.ended = true
-		b.complete = errors.Is(err, io.EOF)
-		close(b.done)
+		b.end(err)
 	}
 	return n, err
 }
 
+// end records that nothing more is read after err, which a later Read returns as well. The caller
+// holds the lock.
+func (b *bodyStream) end(err error) {
+	b.err, b.complete = err, errors.Is(err, io.EOF)
+	close(b.done)
+}
+
 // discardUnread discards up to maxDiscardedBody bytes that the request did not read, so
 // that the connection can be reused, or be closed without a reset.
 func (b *bodyStream) discardUnread() {
-	_, _ = io.CopyN(io.Discard, b, maxDiscardedBody) // Read records the end and any error.
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.ended {
-		b.ended = true
-		close(b.done)
+	if b.err != nil {
+		return
 	}
+	_, err := io.CopyN(io.Discard, b.r, maxDiscardedBody)
+	b.end(err)
+	b.err = errBodyDiscarded
 }
 
 const maxDiscardedBody = 1 << 20 // bytes
--- a/io/berylhttpserver/body_test.go
+++ b/io/berylhttpserver/body_test.go
@@ -138,3 +138,27 @@
 		require.Equal(t, "whole", string(body))
 	})
 }
+
+// Guards against a body whose rest was discarded after the answer, which ended as if it were whole
+// for what still read it.
+func TestBodyThatWasNotReadWholeEndsAsComplete(t *testing.T) {
+	const size = 8 * maxBufferedBody
+	answered := make(chan struct{})
+	read := make(chan error, 1)
+	_, dial := startServer(t, func(_ context.Context, r *Request) *Answer {
+		go func() {
+			<-answered
+			_, err := io.Copy(io.Discard, r.Stream)
+			read <- err
+		}()
+		return textAnswer("early")
+	})
+	conn := dial()
+	_, err := fmt.Fprintf(conn, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size)
+	require.NoError(t, err)
+	go func() { _, _ = conn.Write(make([]byte, size)) }() // The server may close the connection before the end.
+	require.Equal(t, []string{"200 early"}, readAnswers(t, conn, 1))
+	time.Sleep(100 * time.Millisecond) // The rest is discarded.
+	close(answered)
+	require.Error(t, <-read)
+}
