Let a peer's own removal of a server come after that of its source

What callers would see: after an outage of the store, an instance goes on without a server that is back, until the next change of the list.

Cause: an instance that copied a pending removal carries it out by itself and numbers that change with the next revision. If the store's next revision is the one with which the server comes back, and its reader got to it before its own removal was due, both changes have the same number. The instance then takes its list for the newest and fetches nothing.

Change: a copied removal is carried out 500 ms later than at its source, which either removes the server first or tells that it is back.

--- a/io/berylstorecache/peers.go
+++ b/io/berylstorecache/peers.go
@@ -167,10 +167,12 @@
 		s.Servers = berylhistory.Apply(nil, c.withoutDeparted(c.clock(), snapshot.Era, slices.Collect(maps.Values(servers))), nil)
 		s.buildIndexes()
 		changed = true
-		// Servers whose removal is pending here may have come back at the peer.
+		// Servers whose removal is pending here may have come back at the peer. The peer decides
+		// first: a removal by this instance could get the revision of the change with which the
+		// server comes back, and that change would then not be fetched.
 		c.pendingRemovals = make(map[string]time.Time, len(snapshot.PendingRemovalMs))
 		for id, ms := range snapshot.PendingRemovalMs {
-			c.pendingRemovals[id] = c.clock().Add(time.Duration(ms) * time.Millisecond)
+			c.pendingRemovals[id] = c.clock().Add(time.Duration(ms)*time.Millisecond + copiedDelay)
 		}
 		c.copyPendingRemovals()
 	}
--- a/io/berylstorecache/peers_test.go
+++ b/io/berylstorecache/peers_test.go
@@ -156,3 +156,47 @@
 	}
 	require.Contains(t, peer.State().Servers, "1")
 }
+
+// Guards against a server that stays removed at a peer, because the peer's own removal of it got the
+// revision of the change with which it came back.
+func TestReturnedServerStaysRemovedAtPeerThatRemovedItFirst(t *testing.T) {
+	clock, advance := fakeClock()
+	peerClock, advancePeer := fakeClock()
+	down := func() (*ReadResult, error) { return nil, errors.New("down") }
+	source := &fakeSource{full: firstRead, changes: down}
+	reader := start(t, source, Clock(clock))
+	peer := start(t, &fakeSource{full: down, changes: down}, Clock(peerClock), Rank(func() int { return 1 }),
+		Fetch(func(_ context.Context, _ string, known KnownVersions) (*Snapshot, error) {
+			return reader.Snapshot(known), nil
+		}))
+	step := func() {
+		advance(50 * time.Millisecond)
+		advancePeer(50 * time.Millisecond)
+		s := reader.State()
+		if s.Config != nil {
+			peer.HandlePeerState(context.Background(), "reader", PeerState{ConfigVersion: 3, ChangeRevision: s.ChangeRevision, Revision: s.Revision})
+		}
+	}
+	eventually(t, func() bool { step(); return hasConfig(peer) })
+	advance(10 * time.Second)
+	advancePeer(10 * time.Second)
+	source.setChanges(func() (*ReadResult, error) {
+		return &ReadResult{Revision: 20, RemovedIDs: []string{"1"}, Updated: []berylregistration.Registration{server("7")}}, nil
+	})
+	eventually(t, func() bool { step(); return len(peer.State().Servers) == 3 })
+	source.setChanges(down)
+	const before = 50 * time.Millisecond
+	wait := (*reader.pendingRemovalsCopy.Load())["1"].Sub(clock()) - before
+	advance(wait)
+	advancePeer(wait + 2*before) // The removal is due here, and not yet at the reader.
+	time.Sleep(100 * time.Millisecond)
+	require.NoError(t, reader.loop.Post(t.Context(), func() {
+		reader.handleRead(&ReadResult{Revision: 21, Updated: []berylregistration.Registration{server("1")}}, nil)
+	}))
+	for range 80 {
+		step()
+		time.Sleep(5 * time.Millisecond)
+	}
+	require.Contains(t, reader.State().Servers, "1")
+	require.Contains(t, peer.State().Servers, "1")
+}
--- a/io/berylstorecache/storecache.go
+++ b/io/berylstorecache/storecache.go
@@ -92,9 +92,10 @@
 	readAgePerRank    = 250 * time.Millisecond  // more for each further rank
 	maxReadAge        = 1800 * time.Millisecond
 	fetchTimeout      = time.Second
-	removalDelay      = 2 * time.Second // after an outage, within which servers that were removed during it come back
-	outageThreshold   = 3 * time.Second // age of the copy that counts as an outage
-	fullReadInterval  = 8 * time.Second // in case a change was missed
+	removalDelay      = 2 * time.Second        // after an outage, within which servers that were removed during it come back
+	copiedDelay       = 500 * time.Millisecond // added to a removal that was copied from a peer, see handleSnapshot
+	outageThreshold   = 3 * time.Second        // age of the copy that counts as an outage
+	fullReadInterval  = 8 * time.Second        // in case a change was missed
 )
 
 // Fetch sets the function that fetches a snapshot from another instance.
