Refuse requests in a planned stop that would be cut at its end

Report of another operator: in a planned stop of one machine, requests that came late in the grace were taken and passed on, and cut at its end, among them some that may not be repeated. Here callers get 504 at the end of the work, not silence; the server was still at work on their requests.

Cause: a request was taken whatever it was expected to take. Callers' requests are read for 2.5 s, of those with long bodies a part is enough; calls of the backend server are taken until the end of the work, 5.2 s; requests that wait beside the server were started until then.

From SIGTERM on, a request is taken only if it is expected to end in time or its own limit does, at the entry and beside the server, also after a wait. Otherwise it is refused as not run. An upload is no longer passed on before all of it is there, unless a backend server sends it. What waits beside the server goes back to its senders 2.5 s after SIGTERM.

--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -418,7 +418,7 @@
 		c.setWait(p, WaitTurn)
 		<-prevWritten
 	}
-	ctx, ok := c.beginHandling(p, r.Stream == nil)
+	ctx, ok := c.beginHandling(p, r)
 	switch {
 	case ok:
 		return c.server.Handle(ctx, r)
--- a/io/berylhttpserver/pending.go
+++ b/io/berylhttpserver/pending.go
@@ -46,12 +46,12 @@
 }
 
 // beginHandling returns the context for handling a request, or false if the request must not
-// be started any more. whole is set if all of its body is there.
-func (c *conn) beginHandling(p *pendingRequest, whole bool) (context.Context, bool) {
+// be started any more.
+func (c *conn) beginHandling(p *pendingRequest, r *Request) (context.Context, bool) {
+	needed := r.Stream != nil && c.server.serves(r)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	isStopped := c.readingStopped || (c.restricted && !p.late)
-	if c.ended || c.isWorkEnded() || (isStopped && !whole) {
+	if c.ended || c.isWorkEnded() || (r.Stream != nil && c.needsWholeBody(p, needed)) {
 		return nil, false
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
@@ -59,6 +59,13 @@
 	return ctx, true
 }
 
+// needsWholeBody reports whether a request is not started before all of its body is there. While the
+// server stops, nobody knows when the rest of a body will come, and with it the answer. needed is set
+// if the request is served while the server stops. The caller holds the lock.
+func (c *conn) needsWholeBody(p *pendingRequest, needed bool) bool {
+	return c.readingStopped || (!p.late && (c.restricted || (c.keepAliveDisabled && !needed)))
+}
+
 // endHandling records that the answer to a request is known. It returns the function that
 // ends the context of the request, to be called when the answer is written: its body may be
 // streamed until then, even if the time of a stop is over.
--- a/io/berylhttpserver/server.go
+++ b/io/berylhttpserver/server.go
@@ -155,7 +155,8 @@
 }
 
 // DisableKeepAlives makes the server close every connection after the next answer that
-// leaves it without a pending request.
+// leaves it without a pending request. Requests with streamed bodies are no longer started, unless
+// ServeWhileStopping serves them.
 func (s *Server) DisableKeepAlives() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/berylproxy/check.go
+++ b/io/berylproxy/check.go
@@ -127,6 +127,9 @@
 	if !q.outgoing.Deadline.After(time.Now()) {
 		return p.refuse(q, http.StatusServiceUnavailable, reasonNoTimeLeft, 0)
 	}
+	if a := p.checkGrace(q); a != nil {
+		return a
+	}
 	return p.admit(ctx, q, config)
 }
 
--- a/io/berylproxy/proxy.go
+++ b/io/berylproxy/proxy.go
@@ -11,6 +11,7 @@
 
 	"berylspan/core/berylcoldshare"
 	"berylspan/core/berylevenness"
+	"berylspan/core/berylgrace"
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylplacement"
 	"berylspan/core/berylregions"
@@ -75,6 +76,7 @@
 	remoteSends  map[*remoteSend]struct{}
 	fleetSize    int // instances that take requests
 	coldShares   *berylcoldshare.Shares
+	grace        *berylgrace.Grace               // of the requests that callers send here, by rule
 	zoneSizes    map[string]int                  // listed backend servers, by data centre
 	failures     map[string]*berylshedding.Meter // of answers, by ID of the backend server; only while a service sheds
 	shedding     map[string]float64              // share of arrivals that all servers of a service reject, by service; nil while none does
@@ -105,6 +107,7 @@
 	p.remoteSends = map[*remoteSend]struct{}{}
 	p.fleetSize = 1
 	p.coldShares = berylcoldshare.New(random)
+	p.grace = berylgrace.New()
 	return p
 }
 
--- a/io/berylproxy/run.go
+++ b/io/berylproxy/run.go
@@ -73,7 +73,10 @@
 			if reply.Stream != nil {
 				reply.Stream = limit.Stream(reply.Stream)
 			}
-			a := p.newAnswer(reply, limit.Cancel)
+			a := p.newAnswer(reply, func() {
+				limit.Cancel()
+				p.recordDuration(q, reply.Status)
+			})
 			a.OnFailure = func(err error) *berylhttpserver.Answer { return p.replaceFailed(ctx, q, err) }
 			return a
 		}
@@ -407,6 +410,9 @@
 	case st.quarantined && !st.maybeRan:
 		return p.refuse(q, http.StatusServiceUnavailable, berylreply.ReasonQuarantined, max(st.retryAfter, berylbackoff.MinDelay))
 	case st.maybeRan && ctx.Err() != nil:
+		if !stopping {
+			p.recordDuration(q, http.StatusGatewayTimeout)
+		}
 		return p.refuse(q, http.StatusGatewayTimeout, q.reason, 0)
 	case st.maybeRan:
 		return p.refuse(q, http.StatusBadGateway, q.reason, 0)
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -14,6 +14,7 @@
 	"berylspan/core/berylcallgraph"
 	"berylspan/core/berylchain"
 	"berylspan/core/berylcoldstart"
+	"berylspan/core/berylgrace"
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylinflight"
 	"berylspan/core/beryllifetime"
@@ -62,6 +63,7 @@
 	slowdown       float64   // of the server at that time, 0 when it did not say
 	startPending   bool      // a timer will start waiting requests
 	shuttingDown   bool
+	grace          *berylgrace.Grace        // of the requests that run on the backend server, by rule
 	lifetime       beryllifetime.Lifetime   // of the server that status belongs to
 	answered       bool                     // whether the server has answered this daemon in that lifetime
 	status         berylserverstatus.Status // what the server last said about itself
@@ -134,6 +136,7 @@
 		gate:           berylchain.New(),
 		running:        map[string]int{},
 		ranks:          map[string]int{},
+		grace:          berylgrace.New(),
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -165,14 +168,6 @@
 	pool.EvictIdle()
 }
 
-// RefuseNew makes the runner refuse all further requests because the instance is
-// shutting down.
-func (r *Runner) RefuseNew() {
-	r.mu.Lock()
-	r.shuttingDown = true
-	r.mu.Unlock()
-}
-
 // Busy returns the number of requests that run or wait.
 func (r *Runner) Busy() int {
 	r.mu.Lock()
@@ -323,6 +318,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.admission.Done(req, took, ran)
+	if ran {
+		r.grace.Ended(req.Kind, took)
+	}
 	r.startWaiting()
 }
 
--- a/io/berylrunner/start.go
+++ b/io/berylrunner/start.go
@@ -26,8 +26,37 @@
 	return !known && lifetime.ID != "" && r.listed == lifetime && !r.isListed(lifetime.ID)
 }
 
-// checkArrival refuses a request that this instance does not take. During shutdown it refuses
-// every request.
+// StopAt records that the instance stops, and when the requests that still run are cancelled. From
+// now on, no request is started that is not expected to end before that.
+func (r *Runner) StopAt(end time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.grace.Stop(end)
+}
+
+// RefuseNew makes the runner refuse all further requests because the instance is shutting down.
+func (r *Runner) RefuseNew() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shuttingDown = true
+}
+
+// ReturnWaiting returns all waiting requests to their senders because the instance is shutting
+// down.
+func (r *Runner) ReturnWaiting() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.returnWaiting(berylreply.ReasonShuttingDown)
+}
+
+// returnWaiting returns all waiting requests to their senders. The caller holds the lock.
+func (r *Runner) returnWaiting(reason string) {
+	for r.admission.Remove(func(w *waiter) bool { w.refusal = reason; close(w.ready); return true }) {
+	}
+}
+
+// checkArrival refuses a request that this instance does not take. After RefuseNew it refuses every
+// request.
 func (r *Runner) checkArrival(req *berylrequest.Request) *berylreply.Reply {
 	r.mu.Lock()
 	shuttingDown := r.shuttingDown
@@ -35,12 +64,25 @@
 	if shuttingDown {
 		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonShuttingDown)
 	}
+	if reply := r.checkGrace(req); reply != nil {
+		return reply
+	}
 	return r.checkServer(req)
 }
 
-// checkStart looks at a request again that has waited for its slot: the sender may have left, and
-// the server may be leaving, evacuated, gone or another one by now. It then gives the slot back and
-// returns the request to its sender, which tries elsewhere.
+// checkGrace refuses a request that would be cancelled at the end of a stop.
+func (r *Runner) checkGrace(req *berylrequest.Request) *berylreply.Reply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.grace.MayTake(time.Now(), req.Rule, req.Nested, req.Deadline) {
+		return nil
+	}
+	return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonShuttingDown)
+}
+
+// checkStart looks at a request again that has waited for its slot: the sender may have left, the
+// server may be leaving, evacuated, gone or another one by now, and the instance may be stopping. It
+// then gives the slot back and returns the request to its sender, which tries elsewhere.
 func (r *Runner) checkStart(ctx context.Context, req *berylrequest.Request, admissionRequest beryladmission.Request, queueTime time.Duration) *berylreply.Reply {
 	if queueTime < recheckAfter {
 		return nil
@@ -48,7 +90,7 @@
 	var reply *berylreply.Reply
 	if ctx.Err() != nil || !req.Deadline.After(time.Now()) {
 		reply = berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonExpired)
-	} else {
+	} else if reply = r.checkGrace(req); reply == nil {
 		reply = r.checkServer(req)
 	}
 	if reply != nil {
@@ -74,6 +116,5 @@
 	default:
 		return
 	}
-	for r.admission.Remove(func(w *waiter) bool { w.refusal = reason; close(w.ready); return true }) {
-	}
+	r.returnWaiting(reason)
 }
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -266,6 +266,8 @@
 	begin := time.Now()
 	times := newStopTimes(s.set.Load().Grace)
 	s.closing.Store(true)
+	s.enter.StopAt(begin.Add(times.endWork))
+	s.beside.StopAt(begin.Add(times.endWork))
 	s.face.DisableKeepAlives()
 	s.log.Info().Int("callers", s.face.Busy()).Int("backend", s.beside.Busy()).Msg("leaving")
 	berylclock.Sleep(context.Background(), time.Until(begin.Add(times.tellPeers)))
@@ -276,6 +278,7 @@
 	}
 	s.beside.RefuseNew()
 	berylclock.Sleep(context.Background(), time.Until(begin.Add(times.stopReading)))
+	s.beside.ReturnWaiting()
 	var drained sync.WaitGroup
 	drained.Go(func() { s.face.Drain(time.Until(begin.Add(times.endWork)), times.endAnswers-times.endWork) })
 	drained.Go(func() { s.work.Drain(time.Until(begin.Add(times.endWork)), times.endAnswers-times.endWork) })
