--- a/io/berylrunner/start_test.go
+++ b/io/berylrunner/start_test.go
@@ -120,3 +120,25 @@
 	require.Eventually(t, func() bool { return r.Busy() == 0 }, time.Second, time.Millisecond)
 	require.Equal(t, int32(1), s.arrived.Load())
 }
+
+// Guards against requests that wait until the stop of their instance is over.
+func TestQueuedRequestWaitsForTheEndOfStop(t *testing.T) {
+	r, s, second := startFullRunner(t.Context(), t, &published{})
+	r.ReturnWaiting()
+	reply := <-second
+	require.Equal(t, berylattempt.Unsent, reply.Outcome)
+	require.Equal(t, berylreply.ReasonShuttingDown, reply.Reason)
+	require.Equal(t, int32(1), s.arrived.Load())
+}
+
+// Guards against requests that are started although the instance stops before they end.
+func TestRequestThatOutlastsStopIsStarted(t *testing.T) {
+	p := &published{}
+	r, s, second := startFullRunner(t.Context(), t, p)
+	require.Equal(t, berylattempt.Answered, (<-second).Outcome)
+	r.StopAt(time.Now().Add(holdTime / 2)) // Such requests take holdTime.
+	reply := r.Run(t.Context(), newRequest(3, "plain", true))
+	require.Equal(t, berylattempt.Unsent, reply.Outcome)
+	require.Equal(t, berylreply.ReasonShuttingDown, reply.Reason)
+	require.Equal(t, int32(2), s.arrived.Load())
+}
