Name the parts of the sidecar by what they are

The fields face, enter, beside, work, view and puller of the sidecar and some of its methods and constants had figures of speech for names. They are now callerServer, proxy, runner, meshServer, cache and stateClient, and so on. Log messages, metrics and settings are the same; the one changed text is that of an error at the start ("heartbeats").

--- a/io/berylsidecar/cold.go
+++ b/io/berylsidecar/cold.go
@@ -9,7 +9,7 @@
 // coldStart returns what the configuration says of the backend server beside while it is cold;
 // known is false while there is no configuration.
 func (s *Sidecar) coldStart() (start berylcoldstart.ColdStart, known bool) {
-	config := s.view.State().Config
+	config := s.cache.State().Config
 	if config == nil {
 		return start, false
 	}
--- a/io/berylsidecar/evacuation.go
+++ b/io/berylsidecar/evacuation.go
@@ -5,7 +5,7 @@
 // evacuated reports whether the data centre of the backend server beside is evacuated, by the
 // settings of the instance or by the list's entry of the server.
 func (s *Sidecar) evacuated() bool {
-	st := s.view.State()
+	st := s.cache.State()
 	if len(st.Evacuated) == 0 {
 		return false
 	}
@@ -16,7 +16,7 @@
 
 // isListed reports whether a server is in the published list.
 func (s *Sidecar) isListed(serverID string) bool {
-	_, ok := s.view.State().Servers[serverID]
+	_, ok := s.cache.State().Servers[serverID]
 	return ok
 }
 
--- a/io/berylsidecar/explain.go
+++ b/io/berylsidecar/explain.go
@@ -15,7 +15,7 @@
 		http.Error(w, "to must be HOST/PATH", http.StatusBadRequest)
 		return
 	}
-	data, err := json.MarshalIndent(s.enter.Explain(host, "/"+path, r.URL.Query().Get("workspace")), "", "  ")
+	data, err := json.MarshalIndent(s.proxy.Explain(host, "/"+path, r.URL.Query().Get("workspace")), "", "  ")
 	if err != nil {
 		s.log.Error().Err(err).Msg("explanation not encoded")
 		w.WriteHeader(http.StatusInternalServerError)
--- a/io/berylsidecar/far.go
+++ b/io/berylsidecar/far.go
@@ -36,7 +36,7 @@
 	for zone := range s.zones() {
 		f.zones[zone] = nil
 	}
-	for _, l := range s.view.State().ServersByAddr {
+	for _, l := range s.cache.State().ServersByAddr {
 		if host := l.Host(); !leaving[host] {
 			f.zones[l.Zone] = append(f.zones[l.Zone], host)
 			f.zone[host] = l.Zone
--- a/io/berylsidecar/limited.go
+++ b/io/berylsidecar/limited.go
@@ -62,7 +62,7 @@
 
 func (s *Sidecar) limits() berylhttpserver.Limits {
 	l := defaultLimits()
-	if p := s.view.State().Config; p != nil {
+	if p := s.cache.State().Config; p != nil {
 		l = berylhttpserver.Limits{MaxHeaderBytes: p.MaxHeaderBytes, MaxBodyBytes: p.MaxBodyBytes, HeaderTimeout: p.HeaderTimeout, IdleTimeout: p.IdleTimeout}
 	}
 	l.MaxHeaderLines = s.maxHeaderLines(l.MaxHeaderBytes)
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -52,7 +52,7 @@
 				s.look()
 				s.updateShedding()
 				s.mesh.EvictIdle()
-				s.beside.EvictIdle()
+				s.runner.EvictIdle()
 				s.say(false)
 				s.crashes.Share()
 			})
@@ -63,10 +63,10 @@
 // changed tells others at once that something new is known here. In a large fleet
 // whoever told the own data centre has told all of it.
 func (s *Sidecar) changed(from string) {
-	if s.enter.FleetSize() <= berylproxy.MaxFullMeshSize || !s.near(from) {
+	if s.proxy.FleetSize() <= berylproxy.MaxFullMeshSize || !s.near(from) {
 		s.say(false)
 	}
-	s.beside.ListChanged()
+	s.runner.ListChanged()
 	s.look()
 }
 
@@ -83,19 +83,19 @@
 // look passes on what was heard of other instances.
 func (s *Sidecar) look() {
 	peers := s.gossip.Peers()
-	s.enter.UpdatePeers(peers)
+	s.proxy.UpdatePeers(peers)
 	s.tickQuotas(peers)
-	s.beside.UpdateCold()
+	s.runner.UpdateCold()
 }
 
 // say sends a word: to every known instance in a small fleet or when all is set,
 // else to those of the own data centre and one of each other, in turn.
 func (s *Sidecar) say(all bool) {
 	set := s.set.Load()
-	st := s.view.State()
+	st := s.cache.State()
 	w := berylgossip.Heartbeat{
 		Epoch: s.start, Zone: set.Zone, Era: st.Era, ChangeRevision: st.ChangeRevision, Revision: st.Revision,
-		AgeMs: s.view.Age().Milliseconds(), Leaving: s.leaving.Load(), Demand: s.demand(),
+		AgeMs: s.cache.Age().Milliseconds(), Leaving: s.leaving.Load(), Demand: s.demand(),
 	}
 	if st.Config != nil {
 		w.ConfigVersion = st.Config.Version
@@ -105,10 +105,10 @@
 	if own, ok := s.own(); ok {
 		w.ServerID = own.ID
 	}
-	w.Busy, w.Limit = s.beside.Load()
+	w.Busy, w.Limit = s.runner.Load()
 	w.Shedding = s.shedding()
 	near, far, large := s.hosts(all, int(s.turn.Add(1)))
-	w.Slowdown = int(math.Round(s.beside.Slowdown() * 100))
+	w.Slowdown = int(math.Round(s.runner.Slowdown() * 100))
 	err := s.gossip.SendHeartbeat(near, w)
 	w.Slowdown = 0
 	if !large && err == nil {
@@ -152,7 +152,7 @@
 			zones[zone] = append(zones[zone], host)
 		}
 	}
-	for _, l := range s.view.State().ServersByAddr {
+	for _, l := range s.cache.State().ServersByAddr {
 		add(l.Host(), l.Zone)
 	}
 	for _, p := range s.gossip.Peers() {
@@ -201,7 +201,7 @@
 		return berylproxy.MaxFullMeshSize
 	}
 	set := s.set.Load()
-	large := s.enter.FleetSize() > berylproxy.MaxFullMeshSize
+	large := s.proxy.FleetSize() > berylproxy.MaxFullMeshSize
 	own := xxhash.Sum64String(set.Host)
 	before := map[string]bool{}
 	n := 0
@@ -247,7 +247,7 @@
 		if w.ConfigVersion == 0 {
 			return
 		}
-		s.view.HandlePeerState(ctx, net.JoinHostPort(host, s.set.Load().Port), berylstorecache.PeerState{
+		s.cache.HandlePeerState(ctx, net.JoinHostPort(host, s.set.Load().Port), berylstorecache.PeerState{
 			ConfigVersion: w.ConfigVersion, Era: w.Era, ChangeRevision: w.ChangeRevision, Revision: w.Revision, Age: time.Duration(w.AgeMs) * time.Millisecond,
 		})
 	}
@@ -260,7 +260,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	data, err := cbor.Marshal(s.view.Snapshot(k))
+	data, err := cbor.Marshal(s.cache.Snapshot(k))
 	if err != nil {
 		s.log.Error().Err(err).Msg("state not encoded")
 		w.WriteHeader(http.StatusInternalServerError)
@@ -298,7 +298,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "pull")
 	}
-	resp, err := s.puller.Do(r)
+	resp, err := s.stateClient.Do(r)
 	if err != nil {
 		return nil, eris.Wrap(err, "pull")
 	}
--- a/io/berylsidecar/quotas.go
+++ b/io/berylsidecar/quotas.go
@@ -26,7 +26,7 @@
 }
 
 func (s *Sidecar) account(workspace string) *berylaccount.Account {
-	if p := s.view.State().Config; p != nil {
+	if p := s.cache.State().Config; p != nil {
 		return p.AccountByWorkspace(workspace)
 	}
 	return nil
@@ -76,7 +76,7 @@
 // zones returns the data centres with instances.
 func (s *Sidecar) zones() map[string]bool {
 	out := map[string]bool{s.set.Load().Zone: true}
-	for _, l := range s.view.State().ServersByAddr {
+	for _, l := range s.cache.State().ServersByAddr {
 		out[l.Zone] = true
 	}
 	return out
@@ -85,11 +85,11 @@
 // tickQuotas tells the quotas who can be heard and what others are asked for. In
 // a large fleet each data centre has a lender of its own.
 func (s *Sidecar) tickQuotas(peers []berylgossip.Peer) {
-	p := s.view.State().Config
+	p := s.cache.State().Config
 	if p == nil {
 		return
 	}
-	fleet := s.enter.FleetSize()
+	fleet := s.proxy.FleetSize()
 	large := fleet > berylproxy.MaxFullMeshSize
 	alive, demand, silent := s.lending(peers, large)
 	own, near := s.quotas.Demand(), sum(demand)
@@ -127,7 +127,7 @@
 	set := s.set.Load()
 	demand, silent = map[string]map[string]float64{}, map[string]bool{}
 	listed := map[string]bool{}
-	for _, l := range s.view.State().ServersByAddr {
+	for _, l := range s.cache.State().ServersByAddr {
 		host := l.Host()
 		if host == set.Host {
 			continue
@@ -196,7 +196,7 @@
 		}
 	}
 	zones := s.zones()
-	pub := s.view.State().Config
+	pub := s.cache.State().Config
 	for zone := range zones {
 		if zone == own {
 			continue
--- a/io/berylsidecar/shedding.go
+++ b/io/berylsidecar/shedding.go
@@ -10,7 +10,7 @@
 // shedding returns the share of arrivals in per cent that the backend server beside rejects, 0
 // if that is too little to matter.
 func (s *Sidecar) shedding() uint8 {
-	share := s.beside.Shedding()
+	share := s.runner.Shedding()
 	if share < berylshedding.MinShare {
 		return 0
 	}
@@ -26,7 +26,7 @@
 	}
 	before, _ := s.sheddingServers.Swap(host, sheds)
 	if before != sheds {
-		s.enter.UpdatePeers(s.gossip.Peers())
+		s.proxy.UpdatePeers(s.gossip.Peers())
 		s.updateShedding()
 	}
 }
@@ -39,8 +39,8 @@
 // updateShedding tells the runner how much a service of the fleet sheds, and logs when that
 // begins and ends.
 func (s *Sidecar) updateShedding() {
-	service, share := s.enter.Shedding()
-	s.beside.SetShedding(share)
+	service, share := s.proxy.Shedding()
+	s.runner.SetShedding(share)
 	s.sheddingMu.Lock()
 	defer s.sheddingMu.Unlock()
 	if service == s.sheddingService {
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -45,10 +45,10 @@
 	log     zerolog.Logger
 	start   int64
 
-	view   *berylstorecache.StoreCache
+	cache  *berylstorecache.StoreCache
 	gossip *berylgossip.Gossip
 	mesh   *berylmesh.Mesh
-	beside *berylrunner.Runner
+	runner *berylrunner.Runner
 	quotas *berylratelimiter.RateLimiter
 
 	crashes *berylcrashes.Crashes
@@ -57,10 +57,10 @@
 	reserve   *berylreserve.Reserve
 	ramp      *berylramp.Ramp
 
-	enter *berylproxy.Proxy
-	face  *berylhttpserver.Server
-	work  *berylmesh.Server
-	meter *meter
+	proxy        *berylproxy.Proxy
+	callerServer *berylhttpserver.Server
+	meshServer   *berylmesh.Server
+	meter        *meter
 
 	memory     *berylmemory.Memory // held for callers and for requests of other instances
 	limitedMu  sync.Mutex
@@ -72,29 +72,29 @@
 	sheddingService string   // that sheds most, "" while none does
 	sheddingServers sync.Map // whether its server sheds, by host of the instance; only of those that have
 
-	udp     *net.UDPConn
-	puller  *http.Client
-	servers []*http.Server
-	closing atomic.Bool   // callers are told to go elsewhere
-	leaving atomic.Bool   // other instances are told too
-	turn    atomic.Uint32 // of the peers in other data centres
-	cancel  context.CancelFunc
-	loops   sync.WaitGroup
+	udp         *net.UDPConn
+	stateClient *http.Client
+	servers     []*http.Server
+	closing     atomic.Bool   // callers are told to go elsewhere
+	leaving     atomic.Bool   // other instances are told too
+	turn        atomic.Uint32 // of the peers in other data centres
+	cancel      context.CancelFunc
+	loops       sync.WaitGroup
 }
 
-// New returns a sidecar that does nothing before Start.
-func New(set Settings, names berylheadernames.Names, feed berylstorecache.Source, log zerolog.Logger) *Sidecar {
+// New returns a sidecar that is not started.
+func New(set Settings, names berylheadernames.Names, source berylstorecache.Source, log zerolog.Logger) *Sidecar {
 	s := &Sidecar{names: names, log: log, start: time.Now().UnixMilli(), meter: newMeter(), reserve: berylreserve.New(), ramp: berylramp.New(time.Now())}
-	s.take(set)
-	s.puller = &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: pullDial, Control: berylmesh.SetTCPUserTimeout}).DialContext, IdleConnTimeout: pullIdle,
+	s.applySettings(set)
+	s.stateClient = &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: stateDialTimeout, Control: berylmesh.SetTCPUserTimeout}).DialContext, IdleConnTimeout: stateIdleTimeout,
 		MaxResponseHeaderBytes: maxHeadSize, DisableCompression: true,
 	}}
 	s.guard = berylpanic.New(log, berylpanic.OnPanic(s.meter.panicked))
 	s.memory, s.limitedLog = berylmemory.New(memoryLimits(set)), berylthrottle.New(limitedLogInterval)
 	s.meter.watchMemory(s.memory.Held)
 	s.mesh = berylmesh.New(names, berylmesh.Guard(s.guard.Run), berylmesh.Memory(s.memory, func() { s.limited(limitedPeer) }))
-	s.view = berylstorecache.New(feed, log,
+	s.cache = berylstorecache.New(source, log,
 		berylstorecache.Guard(s.guard.Run),
 		berylstorecache.Fetch(s.pull),
 		berylstorecache.StartupPeers(s.startupPeers),
@@ -102,46 +102,46 @@
 		berylstorecache.OnChange(s.changed))
 	s.crashes = berylcrashes.New(log, s.sendCrashes)
 	s.quotas = berylratelimiter.New(set.Host, s.passQuota)
-	s.enter = berylproxy.New(&berylproxy.Proxy{
+	s.proxy = berylproxy.New(&berylproxy.Proxy{
 		Names: names, Host: set.Host, Zone: set.Zone, Port: set.Work,
 		Service: func() string { return s.set.Load().Service },
 		Regions: s.regions.Load,
-		State:   s.view.State, StateAge: s.view.Age,
+		State:   s.cache.State, StateAge: s.cache.Age,
 		RunLocal:    s.run,
 		SendRemote:  s.mesh.Send,
-		CallStarted: func(rule string) { s.beside.CallStarted(rule) },
-		CallEnded:   func(took, waited time.Duration, failed bool) { s.beside.CallEnded(took, waited, failed) },
-		CallRank:    func(rule string) int { return s.beside.CallRank(rule) },
+		CallStarted: func(rule string) { s.runner.CallStarted(rule) },
+		CallEnded:   func(took, waited time.Duration, failed bool) { s.runner.CallEnded(took, waited, failed) },
+		CallRank:    func(rule string) int { return s.runner.CallRank(rule) },
 		Quotas:      s.quotas,
 		Log:         log,
 		Observe:     s.meter.request,
 
 		CheckSuspect: s.crashes.Check,
 	})
-	s.beside = berylrunner.New(set.Backend, names, s.own, berylrunner.OnRequestEnd(s.seen), berylrunner.OnServerStatus(s.serverStatus),
+	s.runner = berylrunner.New(set.Backend, names, s.own, berylrunner.OnRequestEnd(s.logWork), berylrunner.OnServerStatus(s.serverStatus),
 		berylrunner.OnServerEnd(s.serverEnded), berylrunner.OnShedding(func() { s.say(true) }), berylrunner.OnAnswered(s.crashes.Answered), berylrunner.CheckSuspect(s.crashes.Check), berylrunner.Guard(s.guard.Run),
 		berylrunner.Evacuated(s.evacuated), berylrunner.IsListed(s.isListed), berylrunner.ColdStart(s.coldStart), berylrunner.OnColdChange(s.coldChanged))
-	s.meter.watchServer(s.beside.ServerStatus)
-	s.meter.watchCold(s.beside.Cold)
-	s.meter.watchEvenness(s.enter.Evenness)
-	s.meter.watchShedding(s.beside.Shedding, s.enter.Shedding)
+	s.meter.watchServer(s.runner.ServerStatus)
+	s.meter.watchCold(s.runner.Cold)
+	s.meter.watchEvenness(s.proxy.Evenness)
+	s.meter.watchShedding(s.runner.Shedding, s.proxy.Shedding)
 	s.meter.watchSuspects(s.crashes.Suspects)
-	s.meter.watchEvacuations(func() int { return len(s.view.State().Evacuated) }, s.evacuated)
+	s.meter.watchEvacuations(func() int { return len(s.cache.State().Evacuated) }, s.evacuated)
 	return s
 }
 
-// run runs a request on the backend server beside. After a panic it is unknown whether the
+// run runs a request on the local backend server. After a panic it is unknown whether the
 // request ran.
 func (s *Sidecar) run(ctx context.Context, w *berylrequest.Request) *berylreply.Reply {
 	reply := berylreply.NewFailure(berylattempt.Unknown, berylreply.ReasonPanic)
-	s.guard.Run("work", func() { reply = s.beside.Run(ctx, w) })
+	s.guard.Run("work", func() { reply = s.runner.Run(ctx, w) })
 	return reply
 }
 
-// own returns the list's entry of the backend server beside. Each request takes a
+// own returns the list's entry of the local backend server. Each request takes a
 // connection, so it runs no more at once than it accepts connections.
 func (s *Sidecar) own() (berylregistration.Registration, bool) {
-	st := s.view.State()
+	st := s.cache.State()
 	l, ok := st.ServersByAddr[s.set.Load().Backend]
 	if st.Config == nil {
 		return l, ok
@@ -177,7 +177,7 @@
 	}
 	pc, err := new(net.ListenConfig).ListenPacket(ctx, "udp", net.JoinHostPort(set.Host, set.Port))
 	if err != nil {
-		return eris.Wrap(err, "words of peers")
+		return eris.Wrap(err, "heartbeats")
 	}
 	udp, ok := pc.(*net.UDPConn)
 	if !ok {
@@ -185,31 +185,31 @@
 	}
 	s.udp = udp
 	s.gossip = berylgossip.New(udp, port(set.Port), s.hear(run), s.hearQuota, berylgossip.OnCrashes(s.hearCrashes), berylgossip.Guard(s.guard.Run))
-	s.face = berylhttpserver.New(callers, s.enter.Serve, s.enter.MustRunInOrder, s.limits, berylhttpserver.Guard(s.guard.Run),
+	s.callerServer = berylhttpserver.New(callers, s.proxy.Serve, s.proxy.MustRunInOrder, s.limits, berylhttpserver.Guard(s.guard.Run),
 		berylhttpserver.OnUnanswered(func(h http.Header) string { return h.Get(s.names.RequestID) }, s.unanswered),
-		berylhttpserver.Refuse(s.enter.RefuseStopping),
-		berylhttpserver.Memory(s.memory), berylhttpserver.RefuseOverloaded(s.enter.RefuseOverloaded),
+		berylhttpserver.Refuse(s.proxy.RefuseStopping),
+		berylhttpserver.Memory(s.memory), berylhttpserver.RefuseOverloaded(s.proxy.RefuseOverloaded),
 		berylhttpserver.Connections(s.connLimit), berylhttpserver.OnLimited(s.limitedCaller),
-		berylhttpserver.ServeWhileStopping(func() bool { return s.beside.Busy() > 0 }, s.enter.IsNested))
+		berylhttpserver.ServeWhileStopping(func() bool { return s.runner.Busy() > 0 }, s.proxy.IsNested))
 	s.loops.Go(func() { s.gossip.Run(run) })
-	s.loops.Go(func() { s.view.Run(run) })
+	s.loops.Go(func() { s.cache.Run(run) })
 	s.loops.Go(func() { s.beat(run) })
 	s.serve(peers, s.handler())
 	s.serve(ready, http.HandlerFunc(s.readiness))
-	s.work = s.mesh.NewServer(work, s.run)
-	s.loops.Go(func() { s.work.Run(run) })
-	s.loops.Go(func() { s.face.Run(run) })
+	s.meshServer = s.mesh.NewServer(work, s.run)
+	s.loops.Go(func() { s.meshServer.Run(run) })
+	s.loops.Go(func() { s.callerServer.Run(run) })
 	s.log.Info().Str("instance", set.Name).Str("zone", set.Zone).Str("service", set.Service).Str("callers", set.Callers).Msg("started")
 	return nil
 }
 
 const (
-	pullDial      = 400 * time.Millisecond // to another instance, whose knowledge is read
-	pullIdle      = 5 * time.Second
-	headerTimeout = 5 * time.Second
-	answerTimeout = 10 * time.Second // on the internal ports, from the end of the head of a request
-	idleTimeout   = time.Minute
-	maxHeadSize   = 16 << 10 // bytes of the head of a request or response on the internal ports
+	stateDialTimeout = 400 * time.Millisecond // to another instance, whose state is read
+	stateIdleTimeout = 5 * time.Second
+	headerTimeout    = 5 * time.Second
+	answerTimeout    = 10 * time.Second // on the internal ports, from the end of the head of a request
+	idleTimeout      = time.Minute
+	maxHeadSize      = 16 << 10 // bytes of the head of a request or response on the internal ports
 )
 
 func (s *Sidecar) serve(ln net.Listener, h http.Handler) {
@@ -233,30 +233,30 @@
 
 // readiness answers 200 while the daemon takes new work.
 func (s *Sidecar) readiness(w http.ResponseWriter, _ *http.Request) {
-	if s.closing.Load() || s.view.State().Config == nil {
+	if s.closing.Load() || s.cache.State().Config == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
-// take takes over settings.
-func (s *Sidecar) take(set Settings) {
+// applySettings puts settings into force.
+func (s *Sidecar) applySettings(set Settings) {
 	s.set.Store(&set)
 	s.regions.Store(berylregions.New(set.Zone, set.Regions))
 }
 
 // Reload takes changed settings. Listeners stay as they are.
 func (s *Sidecar) Reload(set Settings) {
-	s.take(set)
+	s.applySettings(set)
 	s.memory.SetLimits(memoryLimits(set))
-	s.beside.SetAddr(set.Backend)
+	s.runner.SetAddr(set.Backend)
 	s.log.Info().Str("service", set.Service).Str("backend", set.Backend).Msg("settings reloaded")
 }
 
 const (
-	leaveTells = 3 // words that say so, in case one gets lost
-	tellGap    = 30 * time.Millisecond
+	leaveHeartbeats   = 3 // sent at the begin of a stop, in case one gets lost
+	leaveHeartbeatGap = 30 * time.Millisecond
 )
 
 // Stop is a graceful shutdown: callers are told to go elsewhere, then other instances are, and all
@@ -266,24 +266,24 @@
 	begin := time.Now()
 	times := newStopTimes(s.set.Load().Grace)
 	s.closing.Store(true)
-	s.enter.StopAt(begin.Add(times.endWork))
-	s.beside.StopAt(begin.Add(times.endWork))
-	s.face.DisableKeepAlives()
-	s.log.Info().Int("callers", s.face.Busy()).Int("backend", s.beside.Busy()).Msg("leaving")
+	s.proxy.StopAt(begin.Add(times.endWork))
+	s.runner.StopAt(begin.Add(times.endWork))
+	s.callerServer.DisableKeepAlives()
+	s.log.Info().Int("callers", s.callerServer.Busy()).Int("backend", s.runner.Busy()).Msg("leaving")
 	berylclock.Sleep(context.Background(), time.Until(begin.Add(times.tellPeers)))
 	s.leaving.Store(true)
-	for range leaveTells {
+	for range leaveHeartbeats {
 		s.say(true)
-		time.Sleep(tellGap)
+		time.Sleep(leaveHeartbeatGap)
 	}
-	s.beside.RefuseNew()
+	s.runner.RefuseNew()
 	berylclock.Sleep(context.Background(), time.Until(begin.Add(times.stopReading)))
-	s.beside.ReturnWaiting()
+	s.runner.ReturnWaiting()
 	var drained sync.WaitGroup
-	drained.Go(func() { s.face.Drain(time.Until(begin.Add(times.endWork)), times.endAnswers-times.endWork) })
-	drained.Go(func() { s.work.Drain(time.Until(begin.Add(times.endWork)), times.endAnswers-times.endWork) })
+	drained.Go(func() { s.callerServer.Drain(time.Until(begin.Add(times.endWork)), times.endAnswers-times.endWork) })
+	drained.Go(func() { s.meshServer.Drain(time.Until(begin.Add(times.endWork)), times.endAnswers-times.endWork) })
 	drained.Wait()
-	s.log.Info().Int("callers", s.face.Busy()).Int("backend", s.beside.Busy()).Dur("took", time.Since(begin)).Msg("stopped")
+	s.log.Info().Int("callers", s.callerServer.Busy()).Int("backend", s.runner.Busy()).Dur("took", time.Since(begin)).Msg("stopped")
 	closed := make(chan struct{})
 	go func() { s.Close(); close(closed) }() // Ends with the process at the latest.
 	select {
@@ -293,27 +293,27 @@
 	}
 }
 
-// Enter serves one request of a caller as if it had come to the face.
+// Enter serves one request of a caller as if it had come to the listener for callers.
 func (s *Sidecar) Enter(ctx context.Context, r *berylhttpserver.Request) *berylhttpserver.Answer {
-	return s.enter.Serve(ctx, r)
+	return s.proxy.Serve(ctx, r)
 }
 
 // Close ends everything at once.
 func (s *Sidecar) Close() {
-	s.face.Close() // Tells what each request waited for, so it comes before the requests are cancelled.
+	s.callerServer.Close() // Tells what each request waited for, so it comes before the requests are cancelled.
 	s.cancel()
-	s.work.Close()
+	s.meshServer.Close()
 	for _, srv := range s.servers {
 		_ = srv.Close() // Nothing is left to be done about it.
 	}
 	_ = s.udp.Close() // As above.
 	s.mesh.Close()
-	s.puller.CloseIdleConnections()
+	s.stateClient.CloseIdleConnections()
 	s.loops.Wait()
 }
 
-// seen logs the end of work beside the backend server.
-func (s *Sidecar) seen(w *berylrequest.Request, waited time.Duration, out *berylreply.Reply) {
+// logWork logs the end of a request for the backend server.
+func (s *Sidecar) logWork(w *berylrequest.Request, waited time.Duration, out *berylreply.Reply) {
 	s.meter.work(w.Rule, out.Outcome.String(), out.Reason, waited)
 	if out.Reason == "" && waited < logWait {
 		return
@@ -324,12 +324,12 @@
 
 // unanswered logs a request of a caller that ended without a complete answer during a stop.
 func (s *Sidecar) unanswered(u berylhttpserver.Unanswered) {
-	rule := s.enter.RuleName(u.Host, u.Path)
+	rule := s.proxy.RuleName(u.Host, u.Path)
 	s.meter.unanswered(rule, string(u.Wait))
 	s.log.Warn().Err(u.Err).Str("id", u.ID).Str("rule", rule).Dur("ms", u.Age).Str("wait", string(u.Wait)).Msg("request unanswered")
 }
 
-// serverStatus logs what the backend server beside says about itself.
+// serverStatus logs what the local backend server says about itself.
 func (s *Sidecar) serverStatus(serverID string, status berylserverstatus.Status, err error) {
 	if err != nil {
 		s.log.Warn().Err(err).Str("server", serverID).Msg("server status ignored")
