--- a/core/berylgrace/grace.go
+++ b/core/berylgrace/grace.go
@@ -6,7 +6,10 @@
 // it is refused as not run, so that its caller can go elsewhere at once.
 package berylgrace
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Grace is the time that a stop leaves to requests, and how long requests take by kind. It is not safe
 // for concurrent use.
@@ -35,7 +38,7 @@
 		g.durations[kind] = &duration{mean: s, deviation: s / 2}
 		return
 	}
-	d.deviation += deviationWeight * (max(d.mean-s, s-d.mean) - d.deviation)
+	d.deviation += deviationWeight * (math.Abs(s-d.mean) - d.deviation)
 	d.mean += meanWeight * (s - d.mean)
 }
 
