Tell which responses of a server were discarded, and of rejections whether their id was sent before

The logs could not tell a copy of a refusal from a refusal: neither the responses that answer no request nor earlier requests of the same id on a connection showed anywhere. Each response that is skipped now has a line and counts in berylspan_discarded_responses_total; the line of a rejected request tells whether its id had been sent on the connection before and whether its body was still being written. No logic is changed.

--- a/io/berylconnpool/conn.go
+++ b/io/berylconnpool/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"berylspan/core/berylsentids"
 	"berylspan/io/beryllimitedreader"
 )
 
@@ -18,6 +19,7 @@
 	idleSince   time.Time     // when it became idle
 	idleUntil   time.Time     // idleSince plus idleTimeout
 	used        bool          // whether a response has been read from it
+	sent        berylsentids.Set
 }
 
 const bufferSize = 4 << 10 // bytes
--- a/io/berylconnpool/pool.go
+++ b/io/berylconnpool/pool.go
@@ -27,6 +27,8 @@
 	dial  func(ctx context.Context, addr string) (net.Conn, error)
 	guard func(part string, f func()) bool
 
+	onDiscarded func(Discarded)
+
 	mu               sync.Mutex
 	idle             []*conn // the longest idle first
 	closed           bool
@@ -48,10 +50,14 @@
 // whether it returned without a panic. After a panic the connection is closed.
 func Guard(run func(part string, f func()) bool) func(*Pool) { return func(p *Pool) { p.guard = run } }
 
+// OnDiscarded sets a function that is called for every response that is not believed to answer the
+// request under way.
+func OnDiscarded(f func(Discarded)) func(*Pool) { return func(p *Pool) { p.onDiscarded = f } }
+
 // New returns a pool for the backend server at addr.
 func New(addr string, names berylheadernames.Names, opts ...func(*Pool)) *Pool {
 	d := &net.Dialer{Timeout: dialTimeout, Control: berylsocket.SetReadBuffer(socketBytes)}
-	p := &Pool{addr: addr, names: names, guard: berylpanic.Unguarded, errorHasID: map[int]bool{}, dial: func(ctx context.Context, addr string) (net.Conn, error) {
+	p := &Pool{addr: addr, names: names, guard: berylpanic.Unguarded, onDiscarded: func(Discarded) {}, errorHasID: map[int]bool{}, dial: func(ctx context.Context, addr string) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", addr)
 	}}
 	for _, opt := range opts {
--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -58,7 +58,8 @@
 		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonNoConnection)
 	}
 	stopClosing := context.AfterFunc(ctx, c.close)
-	e := &exchange{pool: p, conn: c, request: r, stopClosing: stopClosing, onDone: onDone}
+	e := &exchange{pool: p, conn: c, request: r, stopClosing: stopClosing, onDone: onDone, idSentBefore: c.sent.Contains(r.ID)}
+	c.sent.Add(r.ID)
 	return e.run(ctx)
 }
 
@@ -74,6 +75,9 @@
 	writeErr    error      // of the connection, when the body was written; guarded by writeMu
 	reuse       bool       // whether the connection can be reused after the answer
 	singleUse   bool       // the connection must not be reused, whatever the answer
+
+	idSentBefore bool // on the connection, with an earlier request
+	bodyPending  bool // the whole body had not been written when the answer was processed
 }
 
 func (e *exchange) run(ctx context.Context) *berylreply.Reply {
@@ -141,7 +145,7 @@
 			e.reuse = e.reuse && err == nil
 		default:
 			// The server answered before it received the whole body.
-			e.reuse = false
+			e.reuse, e.bodyPending = false, true
 		}
 	}
 	if open && e.reuse && e.conn.br.Buffered() == 0 {
@@ -271,6 +275,7 @@
 		if answers {
 			return resp, nil
 		}
+		e.pool.onDiscarded(Discarded{RequestID: e.request.ID, ResponseID: resp.Header.Get(e.pool.names.RequestID), Status: resp.StatusCode, Rejection: e.isRejection(resp)})
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			_ = resp.Body.Close() // The body ends only with the connection.
 			return nil, errNoMatch
@@ -337,7 +342,7 @@
 		e.reuse = e.reuse && errors.Is(err, io.EOF)
 		e.finish()
 		reply := berylreply.NewFailure(berylattempt.Rejected, berylreply.ReasonRejected)
-		reply.Status = resp.StatusCode
+		reply.Status, reply.IDSentBefore, reply.BodyPending = resp.StatusCode, e.idSentBefore, e.bodyPending
 		if misdirected {
 			reply.Reason, reply.ActualServerID = berylreply.ReasonWrongServer, h.Get(names.ServingServer)
 		}
--- a/io/berylreply/reply.go
+++ b/io/berylreply/reply.go
@@ -27,6 +27,10 @@
 	RetryAfter     time.Duration
 	ActualServerID string // backend server of the instance, if it refused because the request was meant for another
 
+	// About the connection to the local backend server, for logs, if it rejected the request.
+	IDSentBefore bool // the id was sent on the connection before
+	BodyPending  bool // the rejection came before the whole body was written
+
 	// Load of the backend server at the end of the attempt, valid if HasLoad is set.
 	HasLoad         bool
 	Busy            int           // requests that run or wait in the queue
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -40,6 +40,7 @@
 	onServerEnd    func(berylserverend.ServerEnd)
 	onAnswered     func(req *berylrequest.Request)
 	onShedding     func()
+	onDiscarded    func(berylconnpool.Discarded)
 	checkSuspect   func(req *berylrequest.Request) (suspect bool, wait time.Duration)
 	isEvacuated    func() bool // the data centre of the backend server
 	isListed       func(serverID string) bool
@@ -112,6 +113,12 @@
 	return func(r *Runner) { r.guard = run }
 }
 
+// OnDiscarded sets a function that is called for every response of the backend server that is not
+// believed to answer the request under way on its connection.
+func OnDiscarded(f func(berylconnpool.Discarded)) func(*Runner) {
+	return func(r *Runner) { r.onDiscarded = f }
+}
+
 // New returns a runner for the backend server at addr. listEntry returns its entry in
 // the published list, false while that is unknown.
 func New(addr string, names berylheadernames.Names, listEntry func() (berylregistration.Registration, bool), opts ...func(*Runner)) *Runner {
@@ -123,6 +130,7 @@
 		onServerEnd:    func(berylserverend.ServerEnd) {},
 		onAnswered:     func(*berylrequest.Request) {},
 		onShedding:     func() {},
+		onDiscarded:    func(berylconnpool.Discarded) {},
 		checkSuspect:   func(*berylrequest.Request) (bool, time.Duration) { return false, 0 },
 		isEvacuated:    func() bool { return false },
 		isListed:       func(string) bool { return true },
@@ -146,7 +154,7 @@
 }
 
 func (r *Runner) newPool(addr string) *berylconnpool.Pool {
-	return berylconnpool.New(addr, r.names, berylconnpool.Guard(r.guard))
+	return berylconnpool.New(addr, r.names, berylconnpool.Guard(r.guard), berylconnpool.OnDiscarded(r.onDiscarded))
 }
 
 // SetAddr changes the address of the backend server.
--- a/io/berylsidecar/meter.go
+++ b/io/berylsidecar/meter.go
@@ -22,6 +22,7 @@
 	lost     *prometheus.CounterVec
 	crashes  prometheus.Counter
 	limited  *prometheus.CounterVec
+	discards *prometheus.CounterVec
 }
 
 const namespace = "berylspan"
@@ -57,7 +58,10 @@
 	m.limited = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "limited_total", Help: "Requests refused and connections closed because of a limit on memory, header lines or connections, by kind.",
 	}, []string{"kind"})
-	m.reg.MustRegister(m.limited, m.requests, m.ends, m.works, m.waits, m.panics, m.lost, m.crashes)
+	m.discards = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "discarded_responses_total", Help: "Responses of the backend server beside the instance that did not answer the request under way, by kind and by whether they are rejections.",
+	}, []string{"kind", "rejection"})
+	m.reg.MustRegister(m.discards, m.limited, m.requests, m.ends, m.works, m.waits, m.panics, m.lost, m.crashes)
 	return m
 }
 
@@ -67,6 +71,10 @@
 
 func (m *meter) unanswered(rule, wait string) { m.lost.WithLabelValues(rule, wait).Inc() }
 
+func (m *meter) discarded(kind string, rejection bool) {
+	m.discards.WithLabelValues(kind, strconv.FormatBool(rejection)).Inc()
+}
+
 const noServerLimit = -1 // 0 is a limit
 
 // watchServer adds gauges of what the backend server beside says about itself.
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -19,6 +19,7 @@
 	"berylspan/core/berylserverstatus"
 	"berylspan/core/berylthrottle"
 	"berylspan/io/berylclock"
+	"berylspan/io/berylconnpool"
 	"berylspan/io/berylcrashes"
 	"berylspan/io/berylgossip"
 	"berylspan/io/berylhttpserver"
@@ -120,7 +121,8 @@
 	})
 	s.runner = berylrunner.New(set.Backend, names, s.own, berylrunner.OnRequestEnd(s.logWork), berylrunner.OnServerStatus(s.serverStatus),
 		berylrunner.OnServerEnd(s.serverEnded), berylrunner.OnShedding(func() { s.say(true) }), berylrunner.OnAnswered(s.crashes.Answered), berylrunner.CheckSuspect(s.crashes.Check), berylrunner.Guard(s.guard.Run),
-		berylrunner.Evacuated(s.evacuated), berylrunner.IsListed(s.isListed), berylrunner.ColdStart(s.coldStart), berylrunner.OnColdChange(s.coldChanged))
+		berylrunner.Evacuated(s.evacuated), berylrunner.IsListed(s.isListed), berylrunner.ColdStart(s.coldStart), berylrunner.OnColdChange(s.coldChanged),
+		berylrunner.OnDiscarded(s.discarded))
 	s.meter.watchServer(s.runner.ServerStatus)
 	s.meter.watchCold(s.runner.Cold)
 	s.meter.watchEvenness(s.proxy.Evenness)
@@ -318,10 +320,30 @@
 	if out.Reason == "" && waited < logWait {
 		return
 	}
-	s.log.Info().Str("id", w.ID).Str("rule", w.Rule).Str("server", w.ServerID).Str("end", out.Outcome.String()).Str("reason", out.Reason).
-		Dur("waited", waited).Int("busy", out.Busy).Int("limit", out.Limit).Dur("hold", out.MeanServiceTime).Msg("work")
+	event := s.log.Info().Str("id", w.ID).Str("rule", w.Rule).Str("server", w.ServerID).Str("end", out.Outcome.String()).Str("reason", out.Reason).
+		Dur("waited", waited).Int("busy", out.Busy).Int("limit", out.Limit).Dur("hold", out.MeanServiceTime)
+	if out.Outcome == berylattempt.Rejected {
+		event = event.Int("status", out.Status).Bool("sent_before", out.IDSentBefore).Bool("body_pending", out.BodyPending)
+	}
+	event.Msg("work")
+}
+
+// discarded logs a response of the backend server that does not answer the request under way.
+func (s *Sidecar) discarded(d berylconnpool.Discarded) {
+	kind := discardedOther
+	if d.ResponseID == "" {
+		kind = discardedNoID
+	}
+	s.meter.discarded(kind, d.Rejection)
+	s.log.Warn().Str("id", d.RequestID).Str("answered", d.ResponseID).Int("status", d.Status).Bool("rejection", d.Rejection).Msg("response discarded")
 }
 
+// Kinds of responses that were discarded.
+const (
+	discardedOther = "other request"
+	discardedNoID  = "no id"
+)
+
 // unanswered logs a request of a caller that ended without a complete answer during a stop.
 func (s *Sidecar) unanswered(u berylhttpserver.Unanswered) {
 	rule := s.proxy.RuleName(u.Host, u.Path)
