Send copies of a refusal on the connection of the refusal only, in its test

The stand-in of TestCopyOfARefusalIsTakenForTheRefusalOfTheNextAttempt also sent the copies when the second attempt came on another connection. A server can't do that: a copy comes on the connection on which it refused.

--- a/io/berylconnpool/copy_test.go
+++ b/io/berylconnpool/copy_test.go
@@ -55,20 +55,27 @@
 		for _, order := range orders {
 			for _, body := range bodies {
 				t.Run(rf.name+"/"+order.name+"/"+body.name, func(t *testing.T) {
-					var seen, ran atomic.Int32
+					var refusedOn atomic.Pointer[net.Conn]
+					var ran atomic.Int32
 					p := startRawServer(t, func(c net.Conn) {
 						serveAttempts(c, func(r *http.Request) string {
-							switch id := r.Header.Get("Beryl-Call"); {
-							case id != "1":
+							id := r.Header.Get("Beryl-Call")
+							if id != "1" {
 								return okAnswer(id, "other")
-							case seen.Add(1) == 1:
+							}
+							if refusedOn.CompareAndSwap(nil, &c) {
 								if order.idle > 0 {
 									time.AfterFunc(order.idle, func() { _, _ = io.WriteString(c, rf.refusal) }) // The pool may have closed the connection.
 								}
 								return rf.refusal
 							}
 							ran.Add(1)
-							return strings.Repeat(rf.refusal, order.before) + okAnswer("1", "own") + strings.Repeat(rf.refusal, order.after)
+							before, after := strings.Repeat(rf.refusal, order.before), strings.Repeat(rf.refusal, order.after)
+							if first := *refusedOn.Load(); first != c {
+								_, _ = io.WriteString(first, before+after) // As above.
+								return okAnswer("1", "own")
+							}
+							return before + okAnswer("1", "own") + after
 						})
 					})
 					attempt := func(id string) *Request {
