Send an id at most once on a connection to the backend server

What callers saw: requests that must run once at most were refused with a promise and ran, or ran twice.

Cause: a refused request was sent again, with its id, on the connection on which it had been refused; the pool takes the connection that was used last, and under overload the same server is tried again within milliseconds. A copy of the refusal that comes before the answer has the right id and was believed. Class: an id was taken as proof of which send a response answers, although a connection can prove that only for an id that was sent on it once.

The pool now chooses, for each request, the connection that was used last of those on which its id was never sent, and opens one if there is none. So the first response with the id is that of the one send, whatever comes later. A connection is closed after 1,024 requests, which bounds what is kept of ids (8 KB).

--- a/core/berylsentids/sentids.go
+++ b/core/berylsentids/sentids.go
@@ -2,6 +2,8 @@
 //
 // A server may send a response once more, at any time, on the connection of its request. The id in a
 // response therefore tells which request it answers only if that was sent once on the connection.
+// Under overload this matters most: requests that servers refused are sent again at once, with the
+// same id, often to the same server.
 package berylsentids
 
 import (
@@ -16,6 +18,13 @@
 	hashes []uint64
 }
 
+// maxIDs is the number of ids that a full set holds. A connection that closes after so many requests
+// costs next to nothing, and a set takes 8 KB.
+const maxIDs = 1024
+
+// Full reports whether no more ids are to be added: the connection is to be closed.
+func (s *Set) Full() bool { return len(s.hashes) >= maxIDs }
+
 // Add adds an id.
 func (s *Set) Add(id string) { s.hashes = append(s.hashes, xxhash.Sum64String(id)) }
 
--- a/io/berylconnpool/pool.go
+++ b/io/berylconnpool/pool.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,26 +67,14 @@
 	return p
 }
 
-// get returns an idle connection that appears to be open, or a new one. A request that
-// must not run twice only gets an idle connection that was in use a short time ago: if
-// the server has dropped the connection, it is unknown whether the request ran. It gets none
-// if the server's rejections have no id: on a connection that was used they prove nothing.
-func (p *Pool) get(ctx context.Context, nonIdempotent bool) (*conn, error) {
+// get returns an idle connection that appears to be open and on which the id of the request was
+// never sent, or a new one. A request that must not run twice only gets an idle connection that
+// was in use a short time ago: if the server has dropped the connection, it is unknown whether
+// the request ran. It gets none if the server's rejections have no id: on a connection that was
+// used they prove nothing.
+func (p *Pool) get(ctx context.Context, r *Request) (*conn, error) {
 	now := time.Now()
-	for {
-		p.mu.Lock()
-		n := len(p.idle)
-		if n == 0 {
-			p.mu.Unlock()
-			break
-		}
-		c := p.idle[n-1]
-		if nonIdempotent && (now.Sub(c.idleSince) > nonIdempotentMaxIdle || p.rejectionOmitsID) {
-			p.mu.Unlock()
-			break
-		}
-		p.idle = p.idle[:n-1]
-		p.mu.Unlock()
+	for c := p.takeIdle(now, r); c != nil; c = p.takeIdle(now, r) {
 		if now.Before(c.idleUntil) && c.reusable() {
 			return c, nil
 		}
@@ -98,6 +87,26 @@
 	return newConn(nc), nil
 }
 
+// takeIdle takes the connection that became idle last of those that the request may be sent on,
+// nil if there is none.
+func (p *Pool) takeIdle(now time.Time, r *Request) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.NonIdempotent && p.rejectionOmitsID {
+		return nil
+	}
+	for i, c := range slices.Backward(p.idle) {
+		if r.NonIdempotent && now.Sub(c.idleSince) > nonIdempotentMaxIdle {
+			return nil
+		}
+		if !c.sent.Contains(r.ID) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // recordErrorID records whether an error response that certainly answered a request had its id.
 func (p *Pool) recordErrorID(status int, rejection, hasID bool) {
 	p.mu.Lock()
--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -21,7 +21,7 @@
 )
 
 // Request is a request for the backend server. ID is the id of the request, which Header
-// contains too and the server returns in its answer. Header must not contain hop-by-hop
+// contains too and the server returns in its answer. It is not sent twice on one connection. Header must not contain hop-by-hop
 // fields. The body is Body, followed by Stream if that is not nil; Length is that of the
 // whole body, or -1 if unknown. NonIdempotent is set if the request must not run twice. The
 // functions may be nil.
@@ -52,7 +52,7 @@
 // the server has finished with the request as far as is known: the answer has been read,
 // its stream has been closed, or the attempt has failed.
 func (p *Pool) Send(ctx context.Context, r *Request, onDone func()) *berylreply.Reply {
-	c, err := p.get(ctx, r.NonIdempotent)
+	c, err := p.get(ctx, r)
 	if err != nil {
 		onDone()
 		return berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonNoConnection)
@@ -148,7 +148,7 @@
 			e.reuse, e.bodyPending = false, true
 		}
 	}
-	if open && e.reuse && e.conn.br.Buffered() == 0 {
+	if open && e.reuse && !e.conn.sent.Full() && e.conn.br.Buffered() == 0 {
 		e.pool.put(e.conn)
 	} else {
 		e.conn.close()
