Send a call's id at most once on a connection to an HTTP/1.1 backend server

What callers saw, with http1: a call was refused as not run, was made again with its id, and the server repeated the refusal on the connection. The copy counted for the later call, which ran: it was reported as not run, and ran twice if it was made once more. Nested calls have the id of their root, so this needs no retry by a daemon, only a backend server that makes a refused nested call again. A copy of an answer likewise counted for another nested call of the same root.

Cause: as in io/berylconnpool, an id was taken as proof although it had been sent on the connection before.

The client now keeps its connections itself, each an HTTP client of its own that one request at a time uses, and chooses the one used last of those on which the id was never sent.

--- a/io/berylechoclient/client.go
+++ b/io/berylechoclient/client.go
@@ -11,12 +11,13 @@
 	"berylspan/io/beryltransport"
 )
 
-// Client reuses connections only while the server returns the id of each request. A second
-// copy of an answer that arrives late on a connection in use again is taken for the answer
-// to the next request; without the id nobody can tell. It is safe for concurrent use.
+// Client reuses connections only while the server returns the id of each request, and sends an id
+// once only on a connection. A second copy of an answer may arrive late, on a connection in use
+// again. The id tells which request it answers, unless that id, too, was sent there again: by a
+// retry, or by another nested call of the same root. Client is safe for concurrent use.
 type Client struct {
 	idHeader string
-	reusing  *http.Client
+	idle     idle
 	single   *http.Client // a connection for each request
 	echoes   atomic.Bool  // whether the last answer had the id of its request
 	omits    atomic.Bool  // whether an answer had no id; some servers omit it only in errors
@@ -29,39 +30,61 @@
 // New returns a client. idHeader is the name of the header field that holds the id of a
 // request.
 func New(dial beryltransport.Dial, idHeader string) *Client {
-	c := &Client{idHeader: idHeader, reusing: beryltransport.HTTP1(dial), single: beryltransport.HTTP1(dial)}
+	c := &Client{idHeader: idHeader, idle: idle{dial: dial}, single: beryltransport.HTTP1(dial)}
 	if t, ok := c.single.Transport.(*http.Transport); ok {
 		t.DisableKeepAlives = true
 	}
 	return c
 }
 
-// Do sends a request. An answer that proves nothing is an error.
+// Do sends a request. An answer that proves nothing is an error. One that has another id is
+// returned; the caller has to compare.
 func (c *Client) Do(req *http.Request) (*http.Response, error) {
-	client := c.single
-	if c.echoes.Load() && !c.omits.Load() {
-		client = c.reusing
+	id := req.Header.Get(c.idHeader)
+	if id != "" && c.echoes.Load() && !c.omits.Load() {
+		return c.doReusing(req, id)
+	}
+	res, err := c.single.Do(req)
+	if err != nil {
+		return nil, err
 	}
+	c.record(id, res)
+	return res, nil
+}
+
+// doReusing sends a request on a connection that was used before, if there is one.
+func (c *Client) doReusing(req *http.Request, id string) (*http.Response, error) {
+	cn := c.idle.take(id)
 	var reused atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }}
-	res, err := client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	res, err := cn.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
+		cn.close()
 		return nil, err
 	}
-	id := req.Header.Get(c.idHeader)
-	answeredID := res.Header.Get(c.idHeader)
-	c.echoes.Store(id != "" && answeredID == id)
+	answeredID := c.record(id, res)
 	if answeredID != "" {
+		res.Body = &body{ReadCloser: res.Body, onClose: func() { c.idle.put(cn) }}
 		return res, nil
 	}
-	c.omits.Store(true)
+	cn.close()
 	if !reused.Load() {
 		return res, nil
 	}
 	_ = res.Body.Close() // The answer is not used.
-	c.reusing.CloseIdleConnections()
+	c.idle.close()
 	return nil, errNoID
 }
 
+// record notes whether the server returns ids, and returns the id in the answer.
+func (c *Client) record(id string, res *http.Response) string {
+	answeredID := res.Header.Get(c.idHeader)
+	c.echoes.Store(id != "" && answeredID == id)
+	if answeredID == "" {
+		c.omits.Store(true)
+	}
+	return answeredID
+}
+
 // CloseIdleConnections closes all connections on which no request is running.
-func (c *Client) CloseIdleConnections() { c.reusing.CloseIdleConnections() }
+func (c *Client) CloseIdleConnections() { c.idle.close() }
