Close the connection of an answer that has the id of another call

With http1, a server that had sent an answer too many on a connection was one answer behind there from then on, and the connection stayed in use: each later call on it got the answer of the one before and was refused as unknown. No wrong answer was believed, since the id is compared, but the calls were lost.

The connection is now closed once an answer with another id was read on it.

--- a/io/berylechoclient/client.go
+++ b/io/berylechoclient/client.go
@@ -63,12 +63,13 @@
 		return nil, err
 	}
 	answeredID := c.record(id, res)
-	if answeredID != "" {
+	if answeredID == id {
 		res.Body = &body{ReadCloser: res.Body, onClose: func() { c.idle.put(cn) }}
 		return res, nil
 	}
+	// The answer to this request may come as that to the next one.
 	cn.close()
-	if !reused.Load() {
+	if answeredID != "" || !reused.Load() {
 		return res, nil
 	}
 	_ = res.Body.Close() // The answer is not used.
--- a/io/berylechoclient/repeat_test.go
+++ b/io/berylechoclient/repeat_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -189,6 +190,38 @@
 	}
 }
 
+// A server is one response behind on a connection, since it sent one too many. All calls on that
+// connection were lost.
+func TestConnectionThatIsOutOfStepIsUsedAgain(t *testing.T) {
+	var conns atomic.Int32
+	newAnswerer := func() answerer {
+		faulty := conns.Add(1) == 2
+		requests, last := 0, ""
+		return func(id, body string) string {
+			requests++
+			res := response(id, http.StatusOK, "", body)
+			if faulty && requests > 2 {
+				res, last = last, res
+				return res
+			}
+			last = res
+			return res
+		}
+	}
+	addr, _ := startAnswering(t, newAnswerer)
+	c := newCaller(t, addr)
+	const calls = 40
+	lost := 0
+	for i := range calls {
+		out := c.call(strconv.Itoa(i), "{}")
+		require.Nil(t, out.Refusal)
+		if out.Header.Get(berylheader.Call) != strconv.Itoa(i) {
+			lost++
+		}
+	}
+	require.Equal(t, 1, lost, "calls with the response of another one, of %d", calls)
+}
+
 // Guards against a connection for each call.
 func TestCallsWithIDsOfTheirOwnShareConnections(t *testing.T) {
 	for _, tc := range []struct {
