Report responses of an HTTP/1.1 backend server that answer another call

With http1, a response with another id, or with none on a connection that was used before, was dropped without a trace of which call it named; only the refusal of the call showed. Each is now logged as "response discarded" and counted in berylspan_discarded_responses_total, as on the plain HTTP face. TestMetricsTable knows the new metric as one that shows only once it counted.

--- a/io/berylapp/docs_test.go
+++ b/io/berylapp/docs_test.go
@@ -75,8 +75,8 @@
 	var body bytes.Buffer
 	_, err = body.ReadFrom(res.Body)
 	require.NoError(t, err)
-	// Counted only when something was refused, limited or violated.
-	names := map[string]bool{"berylspan_refused_total": true, "berylspan_limited_total": true, "berylspan_violations_total": true}
+	// Counted only when something was refused, limited, discarded or violated.
+	names := map[string]bool{"berylspan_refused_total": true, "berylspan_limited_total": true, "berylspan_discarded_responses_total": true, "berylspan_violations_total": true}
 	for _, m := range regexp.MustCompile(`(?m)^# HELP (berylspan_\w+)`).FindAllStringSubmatch(body.String(), -1) {
 		names[m[1]] = true
 	}
--- a/io/beryldaemon/copy_test.go
+++ b/io/beryldaemon/copy_test.go
@@ -61,6 +61,24 @@
 	}
 }
 
+// startHTTP1Backend starts a backend server that serves each connection with serve.
+func startHTTP1Backend(t *testing.T, serve func(net.Conn)) (addr string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
 func response(id string, status int, header, body string) string {
 	return fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Type: application/json\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, berylheader.Call, id, header, len(body), body)
 }
@@ -110,19 +128,7 @@
 	f := newFixture(t, nil, nil, listed{Path: "/s.S/Outer", Service: "s"}, listed{Path: "/s.S/Inner", Service: "s", Inner: true})
 	n := f.add("s1", "s")
 	b := &copyingBackend{fixture: f, local: n.set.Local, refused: map[string]bool{}, ran: map[string]int{}}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go b.serve(c)
-		}
-	}()
-	n.set.Backend, n.set.HTTP1 = ln.Addr().String(), true
+	n.set.Backend, n.set.HTTP1 = startHTTP1Backend(t, b.serve), true
 	f.start()
 	f.until("a call runs", func() bool { return f.call(n, "/s.S/Outer", "") == nil })
 	const calls = 30
--- a/io/beryldaemon/daemon.go
+++ b/io/beryldaemon/daemon.go
@@ -162,7 +162,7 @@
 // connections.
 func (d *Daemon) backendClient() (connect.HTTPClient, func()) {
 	if d.set.HTTP1 {
-		c := berylechoclient.New(beryltransport.NetDial(), berylheader.Call)
+		c := berylechoclient.New(beryltransport.NetDial(), berylheader.Call, berylechoclient.OnDiscarded(d.discarded))
 		return c, c.CloseIdleConnections
 	}
 	c := beryltransport.HTTP2(beryltransport.NetDial(), nil)
--- a/io/berylechoclient/client.go
+++ b/io/berylechoclient/client.go
@@ -19,21 +19,32 @@
 	idHeader string
 	idle     idle
 	single   *http.Client // a connection for each request
-	echoes   atomic.Bool  // whether the last answer had the id of its request
-	omits    atomic.Bool  // whether an answer had no id; some servers omit it only in errors
+	discard  func(id string, res *http.Response)
+	echoes   atomic.Bool // whether the last answer had the id of its request
+	omits    atomic.Bool // whether an answer had no id; some servers omit it only in errors
 }
 
 // errNoID means that an answer on a connection that was used before has no id, so that it may
 // be an earlier answer once more. The request may have run.
 var errNoID = errors.New("answer on a reused connection has no id of a request") //nolint:gochecknoglobals // A sentinel.
 
+// OnDiscarded sets a function that is called with the id of a request and an answer that does not
+// belong to it, because it has another id, or none on a connection that was used before. The
+// function must not read the body.
+func OnDiscarded(f func(id string, res *http.Response)) func(*Client) {
+	return func(c *Client) { c.discard = f }
+}
+
 // New returns a client. idHeader is the name of the header field that holds the id of a
 // request.
-func New(dial beryltransport.Dial, idHeader string) *Client {
-	c := &Client{idHeader: idHeader, idle: idle{dial: dial}, single: beryltransport.HTTP1(dial)}
+func New(dial beryltransport.Dial, idHeader string, opts ...func(*Client)) *Client {
+	c := &Client{idHeader: idHeader, idle: idle{dial: dial}, single: beryltransport.HTTP1(dial), discard: func(string, *http.Response) {}}
 	if t, ok := c.single.Transport.(*http.Transport); ok {
 		t.DisableKeepAlives = true
 	}
+	for _, o := range opts {
+		o(c)
+	}
 	return c
 }
 
@@ -72,6 +83,7 @@
 	if answeredID != "" || !reused.Load() {
 		return res, nil
 	}
+	c.discard(id, res)
 	_ = res.Body.Close() // The answer is not used.
 	c.idle.close()
 	return nil, errNoID
@@ -81,8 +93,12 @@
 func (c *Client) record(id string, res *http.Response) string {
 	answeredID := res.Header.Get(c.idHeader)
 	c.echoes.Store(id != "" && answeredID == id)
-	if answeredID == "" {
+	switch answeredID {
+	case id:
+	case "":
 		c.omits.Store(true)
+	default:
+		c.discard(id, res)
 	}
 	return answeredID
 }
--- a/io/berylmetrics/metrics.go
+++ b/io/berylmetrics/metrics.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	attempts   *prometheus.CounterVec
 	violations *prometheus.CounterVec
 	limited    *prometheus.CounterVec
+	discarded  *prometheus.CounterVec
 
 	mu             sync.Mutex
 	recentRefusals []berylrefusalevent.Event
@@ -55,7 +57,10 @@
 	m.limited = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "limited_total", Help: "Requests refused and connections closed because of a limit on memory, header lines or connections, by kind.",
 	}, []string{"kind"})
-	m.reg.MustRegister(m.limited, m.calls, m.refusals, m.attempts, m.violations)
+	m.discarded = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "discarded_responses_total", Help: "Responses of the backend server that did not answer the call under way, by kind and by whether they are rejections.",
+	}, []string{"kind", "rejection"})
+	m.reg.MustRegister(m.discarded, m.limited, m.calls, m.refusals, m.attempts, m.violations)
 	for name, f := range gauges {
 		m.reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: "See docs/OPERATORS.md."}, f))
 	}
@@ -78,6 +83,11 @@
 // CountLimited counts what was done about a caller beyond a limit.
 func (m *Metrics) CountLimited(kind string) { m.limited.WithLabelValues(kind).Inc() }
 
+// CountDiscarded counts a response of the backend server that did not answer the call under way.
+func (m *Metrics) CountDiscarded(kind string, rejection bool) {
+	m.discarded.WithLabelValues(kind, strconv.FormatBool(rejection)).Inc()
+}
+
 // CountViolation counts a violation of the named invariant.
 func (m *Metrics) CountViolation(invariant string) { m.violations.WithLabelValues(invariant).Inc() }
 
