Pass no 408, 429 or 503 of a server on that proves nothing

What callers saw: an error with one of these statuses, without X-Not-Executed and without a signature, reached the caller as it was. The status promises that the request did not run, which nobody had said; a caller of an unsafe request sends it again.

Cause: the pool took every error of a server for its answer. Such a response is malformed now: whether the request ran is unknown, the caller of an unsafe request gets 502, a safe one may be sent to another server. With a signature it is passed on as it is, and with X-Not-Executed or 421 it stays a rejection.

--- a/io/berylconnpool/refusal_test.go
+++ b/io/berylconnpool/refusal_test.go
@@ -26,7 +26,10 @@
 	return fmt.Sprintf("HTTP/1.1 %d X\r\n%sContent-Length: 4\r\n\r\nbody", status, more)
 }
 
-const notRun = "Beryl-Not-Run: 1\r\n"
+const (
+	notRun  = "Beryl-Not-Run: 1\r\n"
+	receipt = "Beryl-Receipt: x\r\n"
+)
 
 // A server repeats an earlier refusal on a kept connection, just before the answer to a request
 // that it runs. The request was reported as not run.
--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -324,15 +324,22 @@
 	return resp.Header.Get(e.pool.names.NotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest
 }
 
+// promisesNotRun reports whether a status promises the caller that its request did not run.
+func promisesNotRun(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // newReply classifies a response and reads its body. A body that is too long for
-// maxBufferedAnswer is streamed. A successful response without the receipt of a backend
-// server is malformed.
+// maxBufferedAnswer is streamed. Without the receipt of a backend server, a successful response
+// is malformed, and so is an error whose status promises the caller that the request did not run:
+// only a rejection proves that.
 func (e *exchange) newReply(ctx context.Context, resp *http.Response) *berylreply.Reply {
 	h := resp.Header
 	names := &e.pool.names
 	e.recordReuse(resp)
 	success := resp.StatusCode < http.StatusMultipleChoices
-	malformed := (success && h.Get(names.ResponseSignature) == "") || h.Get("Content-Encoding") != ""
+	signed := h.Get(names.ResponseSignature) != ""
+	malformed := (success && !signed) || h.Get("Content-Encoding") != ""
 	misdirected := resp.StatusCode == http.StatusMisdirectedRequest // answered by another server
 	if e.request.OnHeader != nil && !malformed && !misdirected {
 		e.request.OnHeader(h)
@@ -348,7 +355,7 @@
 		}
 		return reply
 	}
-	if malformed {
+	if malformed || (!signed && promisesNotRun(resp.StatusCode)) {
 		e.reuse = false
 		return e.fail(ctx, berylreply.ReasonMalformed)
 	}
