Believe no success that says that it did not run

A 2xx or 3xx response with X-Not-Executed was taken for a rejection, so an unsafe request could be sent to another server although it had a receipt. Such a response contradicts itself and proves neither. Only an error counts as a rejection now; whether the request ran is unknown otherwise, and the caller of an unsafe request gets 502. Whether a server ever sends one is not known.

--- a/io/berylconnpool/pool_test.go
+++ b/io/berylconnpool/pool_test.go
@@ -96,6 +96,8 @@
 		{"421 without id", errorAnswer(421, "", ""), berylattempt.Rejected, 421, berylreply.ReasonWrongServer},
 		{"rejection whose body breaks off", "HTTP/1.1 503 X\r\nBeryl-Call: 1\r\n" + notRun + "Content-Length: 9\r\n\r\npart", berylattempt.Rejected, 503, berylreply.ReasonRejected},
 		{"rejection whose head breaks off", "HTTP/1.1 503 X\r\nBeryl-Call: 1\r\n" + notRun, berylattempt.Unknown, 0, berylreply.ReasonConnectionBroken},
+		{"success that says that it did not run", "HTTP/1.1 200 OK\r\nBeryl-Call: 1\r\n" + notRun + receipt + "Content-Length: 4\r\n\r\nbody", berylattempt.Unknown, 0, berylreply.ReasonMalformed},
+		{"redirect that says that it did not run", "HTTP/1.1 302 X\r\nBeryl-Call: 1\r\n" + notRun + "Content-Length: 4\r\n\r\nbody", berylattempt.Unknown, 0, berylreply.ReasonMalformed},
 		{"no receipt", "HTTP/1.1 200 OK\r\nBeryl-Call: 1\r\nContent-Length: 0\r\n\r\n", berylattempt.Unknown, 0, berylreply.ReasonMalformed},
 		{"truncated body", "HTTP/1.1 200 OK\r\nBeryl-Call: 1\r\nBeryl-Receipt: x\r\nContent-Length: 9\r\n\r\npart", berylattempt.Unknown, 0, berylreply.ReasonMalformed},
 		{"no answer", "", berylattempt.Unknown, 0, berylreply.ReasonConnectionBroken},
--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -321,7 +321,11 @@
 
 // isRejection reports whether a response says that the server did not run the request.
 func (e *exchange) isRejection(resp *http.Response) bool {
-	return resp.Header.Get(e.pool.names.NotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest
+	return (resp.StatusCode >= http.StatusBadRequest && e.saysNotExecuted(resp)) || resp.StatusCode == http.StatusMisdirectedRequest
+}
+
+func (e *exchange) saysNotExecuted(resp *http.Response) bool {
+	return resp.Header.Get(e.pool.names.NotExecuted) != ""
 }
 
 // promisesNotRun reports whether a status promises the caller that its request did not run.
@@ -332,7 +336,7 @@
 // newReply classifies a response and reads its body. A body that is too long for
 // maxBufferedAnswer is streamed. Without the receipt of a backend server, a successful response
 // is malformed, and so is an error whose status promises the caller that the request did not run:
-// only a rejection proves that.
+// only a rejection proves that. A response that says so and is no error contradicts itself.
 func (e *exchange) newReply(ctx context.Context, resp *http.Response) *berylreply.Reply {
 	h := resp.Header
 	names := &e.pool.names
@@ -355,7 +359,7 @@
 		}
 		return reply
 	}
-	if malformed || (!signed && promisesNotRun(resp.StatusCode)) {
+	if malformed || e.saysNotExecuted(resp) || (!signed && promisesNotRun(resp.StatusCode)) {
 		e.reuse = false
 		return e.fail(ctx, berylreply.ReasonMalformed)
 	}
