Begin no attempt of an upload after it is decided that its body is not kept

An attempt whose request was rejected may still read the body while the next one begins. If it had read as much as is kept (256 KB), it could discard that after the next attempt had got its reader: the next one went on with the bytes that came after and sent a body with a hole in it as the whole. The check whether an attempt is superseded and the decision to discard were two critical sections; they are one now.

--- a/io/berylupload/upload.go
+++ b/io/berylupload/upload.go
@@ -74,28 +74,34 @@
 // Read reads what is kept and then from the source of the upload. It fails with ErrSuperseded
 // after a later attempt began.
 func (a *attempt) Read(p []byte) (int, error) {
-	if n, err, done := a.readKept(p); done {
+	u := a.upload
+	u.mu.Lock()
+	n, err, done := a.readKept(p)
+	u.mu.Unlock()
+	if done {
 		return n, err
 	}
-	u := a.upload
 	u.srcMu.Lock()
 	defer u.srcMu.Unlock()
-	// An earlier attempt may have read more in the meantime.
-	if n, err, done := a.readKept(p); done {
+	// An earlier attempt may have read more in the meantime, or a later one may have begun. None can
+	// begin any more once it is decided that what is read is not kept.
+	u.mu.Lock()
+	n, err, done = a.readKept(p)
+	keep := !done && u.reserve(&p)
+	u.mu.Unlock()
+	if done {
 		return n, err
 	}
-	p, keep := u.reserve(p)
-	n, err := u.src.Read(p)
+	n, err = u.src.Read(p)
 	u.record(p[:n], keep, err)
 	a.sent += n
 	return n, err
 }
 
-// readKept reads what is kept, and reports whether that or an error is the result of Read.
+// readKept reads what is kept, and reports whether that or an error is the result of Read. The
+// caller holds mu.
 func (a *attempt) readKept(p []byte) (n int, err error, done bool) { //nolint:revive // done tells whether to use the others.
 	u := a.upload
-	u.mu.Lock()
-	defer u.mu.Unlock()
 	switch {
 	case u.latest != a:
 		return 0, ErrSuperseded, true
@@ -107,16 +113,16 @@
 	return 0, u.err, u.err != nil
 }
 
-// reserve returns the part of p that may be read, and whether that is kept.
-func (u *Upload) reserve(p []byte) ([]byte, bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	n := min(len(p), u.maxKept-len(u.kept))
+// reserve shortens p to the part that may be read, and reports whether that is kept. The caller
+// holds mu.
+func (u *Upload) reserve(p *[]byte) bool {
+	n := min(len(*p), u.maxKept-len(u.kept))
 	if u.discarded || n == 0 || !u.mayKeep(len(u.kept)+n) {
 		u.discarded, u.kept = true, nil
-		return p, false
+		return false
 	}
-	return p[:n], true
+	*p = (*p)[:n]
+	return true
 }
 
 // mayKeep reports whether n bytes may be kept in total. The caller holds mu.
--- a/io/berylupload/upload_test.go
+++ b/io/berylupload/upload_test.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"io"
+	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 
@@ -92,3 +95,35 @@
 		require.Equal(t, "the", string(b))
 	}
 }
+
+// An attempt that went on reading while the next one began could discard what it had read. The
+// next one then sent the rest of the body as the whole.
+func TestAttemptSendsRestOfBodyAsTheWhole(t *testing.T) {
+	const body = "the body"
+	for range 20_000 {
+		u := New(iotest.OneByteReader(strings.NewReader(body)), MaxKept(2))
+		first, ok := u.Attempt()
+		require.True(t, ok)
+		_, err := io.CopyN(io.Discard, first, 2)
+		require.NoError(t, err)
+		var running atomic.Int32
+		var done sync.WaitGroup
+		done.Go(func() {
+			running.Add(1)
+			for running.Load() < 2 { // Both go on at the same time.
+				runtime.Gosched()
+			}
+			_, _ = first.Read(make([]byte, 1)) // It is superseded, or discards what was read.
+		})
+		running.Add(1)
+		for running.Load() < 2 {
+			runtime.Gosched()
+		}
+		if second, ok := u.Attempt(); ok {
+			b, err := io.ReadAll(second)
+			require.NoError(t, err)
+			require.Equal(t, body, string(b))
+		}
+		done.Wait()
+	}
+}
