Stop passing the body of a request on before the rest of it is discarded

A backend server may answer before it has read a long body, and read on. While the instance beside it wrote a long answer to the instance of the caller, it still passed the body on, rightly; but when the answer was written, it discarded what came on the connection while the connection to the server was open and its body still read from the same place. The server got other bytes as the rest of the body, or took a part for the whole: bytes within a chunk were taken for the length of the next one, and zeros for the end. Both sides read one buffer without a lock.

The body can be stopped now: a read in progress ends, later ones fail, so the connection to the server is closed, and only then the rest is discarded.

--- a/io/berylmesh/conn.go
+++ b/io/berylmesh/conn.go
@@ -7,6 +7,8 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"berylspan/core/berylmemorybudget"
@@ -242,26 +244,34 @@
 	return memoryError{}
 }
 
-// chunkReader reads a chunked body.
+// chunkReader reads a chunked body, until stop is called. It is safe for concurrent use.
 type chunkReader struct {
-	br        *bufio.Reader
-	remaining uint32 // bytes of the current chunk
-	done      bool   // the empty chunk was read
+	br   *bufio.Reader
+	done atomic.Bool // the empty chunk was read
+
+	mu        sync.Mutex // held while br is read
+	remaining uint32     // bytes of the current chunk
+	stopped   bool
 }
 
 // Read returns io.EOF only after the empty chunk, and io.ErrUnexpectedEOF if the
 // connection ends before that.
 func (c *chunkReader) Read(p []byte) (int, error) {
-	if c.done {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.done.Load() {
 		return 0, io.EOF
 	}
+	if c.stopped {
+		return 0, io.ErrUnexpectedEOF
+	}
 	if c.remaining == 0 {
 		var b [4]byte
 		if _, err := io.ReadFull(c.br, b[:]); err != nil {
 			return 0, io.ErrUnexpectedEOF
 		}
 		if c.remaining = binary.BigEndian.Uint32(b[:]); c.remaining == 0 {
-			c.done = true
+			c.done.Store(true)
 			return 0, io.EOF
 		}
 	}
@@ -275,3 +285,11 @@
 	}
 	return n, err
 }
+
+// stop makes reads fail from now on, since what comes on the connection is no longer read as a body.
+func (c *chunkReader) stop(nc net.Conn) {
+	_ = nc.SetReadDeadline(time.Now()) // Ends a read in progress; fails only if the connection is closed.
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+}
--- a/io/berylmesh/server.go
+++ b/io/berylmesh/server.go
@@ -168,10 +168,12 @@
 		reply.Stream = limit.Stream(reply.Stream)
 	}
 	defer reply.Close()
-	if body, ok := req.Stream.(*chunkReader); ok && !body.done {
-		// The rest of the request body is still to come, so the connection cannot be reused.
+	if body, ok := req.Stream.(*chunkReader); ok && !body.done.Load() {
+		// The rest of the request body is still to come, so the connection cannot be reused. The
+		// backend server may read on until it has answered.
 		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) // Fails only if the connection is closed.
 		if s.mesh.writeReply(c, req, reply) == nil {
+			body.stop(c.nc)
 			c.linger()
 		}
 		return false
