--- a/io/berylproxy/shedding_test.go
+++ b/io/berylproxy/shedding_test.go
@@ -59,10 +59,14 @@
 }
 
 func serve(p *Proxy) *berylhttpserver.Answer {
-	return p.Serve(context.Background(), &berylhttpserver.Request{
+	return p.Serve(context.Background(), newRequest(p))
+}
+
+func newRequest(p *Proxy) *berylhttpserver.Request {
+	return &berylhttpserver.Request{
 		Method: http.MethodPost, URI: "/x", Path: "/x", Host: "h", Header: http.Header{p.Names.RequestID: []string{"r-1"}},
 		ReceivedAt: time.Now(), CallerGone: func() bool { return false },
-	})
+	}
 }
 
 func rejected() *berylreply.Reply {
