--- a/io/berylmesh/conn.go
+++ b/io/berylmesh/conn.go
@@ -20,6 +20,12 @@
 // conn is a connection between two instances. It carries one request at a time, so
 // that a lost packet delays only that request.
 //
+// Replies carry no number: the reply that comes is that to the request under way, also if its id
+// was sent on the connection before. For that to hold, a request is sent only after the whole reply
+// to the one before was read, and a connection is closed, not used again, after a request that was
+// cancelled or whose reply or body was not read to its end. Whoever sends a refusal that nobody asked
+// for reads no further request: a request that crosses it does not run.
+//
 // A message consists of the lengths of head and body, the head, and the body. The head
 // is an HPACK block; the HPACK tables live as long as the connection. A body that is
 // streamed follows in chunks, each preceded by its length; an empty chunk ends it.
