--- a/io/berylmesh/conn.go
+++ b/io/berylmesh/conn.go
@@ -7,6 +7,8 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"berylspan/core/berylmemorybudget"
@@ -18,6 +20,12 @@
 // conn is a connection between two instances. It carries one request at a time, so
 // that a lost packet delays only that request.
 //
+// Replies carry no number: the reply that comes is that to the request under way, also if its id
+// was sent on the connection before. For that to hold, a request is sent only after the whole reply
+// to the one before was read, and a connection is closed, not used again, after a request that was
+// cancelled or whose reply or body was not read to its end. Whoever sends a refusal that nobody asked
+// for reads no further request: a request that crosses it does not run.
+//
 // A message consists of the lengths of head and body, the head, and the body. The head
 // is an HPACK block; the HPACK tables live as long as the connection. A body that is
 // streamed follows in chunks, each preceded by its length; an empty chunk ends it.
@@ -242,26 +250,34 @@
 	return memoryError{}
 }
 
-// chunkReader reads a chunked body.
+// chunkReader reads a chunked body, until stop is called. It is safe for concurrent use.
 type chunkReader struct {
-	br        *bufio.Reader
-	remaining uint32 // bytes of the current chunk
-	done      bool   // the empty chunk was read
+	br   *bufio.Reader
+	done atomic.Bool // the empty chunk was read
+
+	mu        sync.Mutex // held while br is read
+	remaining uint32     // bytes of the current chunk
+	stopped   bool
 }
 
 // Read returns io.EOF only after the empty chunk, and io.ErrUnexpectedEOF if the
 // connection ends before that.
 func (c *chunkReader) Read(p []byte) (int, error) {
-	if c.done {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.done.Load() {
 		return 0, io.EOF
 	}
+	if c.stopped {
+		return 0, io.ErrUnexpectedEOF
+	}
 	if c.remaining == 0 {
 		var b [4]byte
 		if _, err := io.ReadFull(c.br, b[:]); err != nil {
 			return 0, io.ErrUnexpectedEOF
 		}
 		if c.remaining = binary.BigEndian.Uint32(b[:]); c.remaining == 0 {
-			c.done = true
+			c.done.Store(true)
 			return 0, io.EOF
 		}
 	}
@@ -275,3 +291,11 @@
 	}
 	return n, err
 }
+
+// stop makes reads fail from now on, since what comes on the connection is no longer read as a body.
+func (c *chunkReader) stop(nc net.Conn) {
+	_ = nc.SetReadDeadline(time.Now()) // Ends a read in progress; fails only if the connection is closed.
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+}
