Fail requests at once whose response has a status that no answer may have

What callers saw or could see: an upstream in trouble answers with status 000. The response was skipped as an interim one, its body was read as the next response, and the request held its slot until its time limit. The same held for 101 and for interim responses with a body. Statuses above 599 went to the caller, and one with the mark of a rejection counted as "not run", so that a request that ran could run again.

Cause: the pool asked only whether the status is below 200. net/http takes any three digits. Class: input was sorted by one bound, and what is outside all allowed ranges fell into the nearest of them.

The line `response discarded` and its counter, kind `status`, tell of malformed ones.

--- a/io/berylconnpool/discarded_test.go
+++ b/io/berylconnpool/discarded_test.go
@@ -33,3 +33,13 @@
 		})
 	}
 }
+
+func TestResponseWithImpossibleStatusIsReported(t *testing.T) {
+	p, _ := startServer(t, func(*http.Request, int) (string, bool) {
+		return "HTTP/1.1 000 X\r\nBeryl-Call: 1\r\n" + notRun + "\r\n", true
+	})
+	var got []Discarded
+	OnDiscarded(func(d Discarded) { got = append(got, d) })(p)
+	require.Equal(t, berylattempt.Unknown, send(p, "1", true).Outcome)
+	require.Equal(t, []Discarded{{RequestID: "1", ResponseID: "1", Rejection: true}}, got)
+}
--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -42,7 +42,7 @@
 
 const (
 	maxBufferedAnswer  = 256 << 10 // bytes; longer answers are streamed
-	maxResponses       = 4         // responses that are read to find the answer to a request
+	maxResponses       = 4         // final responses that are read to find the answer to a request
 	maxResponseHead    = 64 << 10  // bytes of status line and header
 	maxDiscardedAnswer = 256 << 10 // bytes of the body of an answer to another request
 )
@@ -99,7 +99,7 @@
 		return berylreply.ReasonOverlong
 	case errors.Is(err, errNoID):
 		return berylreply.ReasonNoID
-	case errors.Is(err, errNoMatch), strings.Contains(err.Error(), "malformed"):
+	case errors.Is(err, errNoMatch), errors.Is(err, errStatus), strings.Contains(err.Error(), "malformed"):
 		return berylreply.ReasonMalformed
 	}
 	return berylreply.ReasonConnectionBroken
@@ -251,23 +251,15 @@
 	errOverlong = errors.New("answer to another request exceeds its size limit")    //nolint:gochecknoglobals // A sentinel.
 )
 
-// readResponse returns the response to the request. It skips interim responses and
-// answers to other requests, which are late or duplicated.
+// readResponse returns the response to the request. It skips answers to other requests, which
+// are late or duplicated.
 func (e *exchange) readResponse() (*http.Response, error) {
 	req := &http.Request{Method: e.request.Method}
 	for range maxResponses {
-		e.conn.limiter.Remaining = maxResponseHead
-		resp, err := http.ReadResponse(e.conn.br, req)
-		if err != nil && e.conn.limiter.Exceeded() {
-			err = beryllimitedreader.ErrLimit
-		}
-		e.conn.limiter.Remaining = beryllimitedreader.Unlimited
+		resp, err := e.readFinalResponse(req)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		answers, err := e.answersRequest(resp)
 		if err != nil {
 			return nil, err
@@ -275,7 +267,7 @@
 		if answers {
 			return resp, nil
 		}
-		e.pool.onDiscarded(Discarded{RequestID: e.request.ID, ResponseID: resp.Header.Get(e.pool.names.RequestID), Status: resp.StatusCode, Rejection: e.isRejection(resp)})
+		e.discard(resp)
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			_ = resp.Body.Close() // The body ends only with the connection.
 			return nil, errNoMatch
@@ -319,6 +311,11 @@
 	return false, nil
 }
 
+// discard reports a response that is not believed.
+func (e *exchange) discard(resp *http.Response) {
+	e.pool.onDiscarded(Discarded{RequestID: e.request.ID, ResponseID: resp.Header.Get(e.pool.names.RequestID), Status: resp.StatusCode, Rejection: e.isRejection(resp)})
+}
+
 // isRejection reports whether a response says that the server did not run the request.
 func (e *exchange) isRejection(resp *http.Response) bool {
 	return resp.Header.Get(e.pool.names.NotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -12,6 +12,7 @@
 
 	"berylspan/core/berylattempt"
 	"berylspan/core/berylheadernames"
+	"berylspan/core/berylhttpstatus"
 	"berylspan/core/berylramp"
 	"berylspan/core/berylregions"
 	"berylspan/core/berylregistration"
@@ -331,7 +332,10 @@
 // discarded logs a response of the backend server that does not answer the request under way.
 func (s *Sidecar) discarded(d berylconnpool.Discarded) {
 	kind := discardedOther
-	if d.ResponseID == "" {
+	switch {
+	case !berylhttpstatus.IsFinal(d.Status):
+		kind = discardedStatus
+	case d.ResponseID == "":
 		kind = discardedNoID
 	}
 	s.meter.discarded(kind, d.Rejection)
@@ -340,8 +344,9 @@
 
 // Kinds of responses that were discarded.
 const (
-	discardedOther = "other request"
-	discardedNoID  = "no id"
+	discardedOther  = "other request"
+	discardedNoID   = "no id"
+	discardedStatus = "status"
 )
 
 // unanswered logs a request of a caller that ended without a complete answer during a stop.
