Refuse a reply between instances whose status no answer may have

An instance that passed on an answer with a status outside 200 to 599 was believed by the one that had forwarded the request: only 0 was refused, so that 100, 101 or 999 went to the caller.

--- a/io/berylmesh/message.go
+++ b/io/berylmesh/message.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"berylspan/core/berylattempt"
+	"berylspan/core/berylhttpstatus"
 	"berylspan/io/berylreply"
 	"berylspan/io/berylrequest"
 
@@ -253,7 +254,7 @@
 	switch {
 	case err != nil:
 		return nil, err
-	case reply.Outcome == berylattempt.Answered && reply.Status == 0:
+	case reply.Outcome == berylattempt.Answered && !berylhttpstatus.IsFinal(reply.Status):
 		return nil, errMalformed
 	case bodyLength < 0:
 		reply.Stream = io.NopCloser(&chunkReader{br: c.br})
