Write 502 in place of a status that no answer may have

The server for callers wrote whatever status an answer had, as the last of the places that a status passes through: with 0 the caller read a malformed status line, with 100 an interim response and then bytes of a body that never came. The answer is replaced like one whose source has failed, with the line `answer replaced` if it came from a backend server.

--- a/io/berylhttpserver/conn.go
+++ b/io/berylhttpserver/conn.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"berylspan/core/berylhttpstatus"
 	"berylspan/core/berylmemorybudget"
 	"berylspan/io/beryllimitedreader"
 	"berylspan/io/berylmemory"
@@ -571,7 +572,10 @@
 		c.ended = true
 	}
 	c.mu.Unlock()
-	if waited && a.Stream != nil && !a.noBody() {
+	switch {
+	case !berylhttpstatus.IsFinal(a.Status):
+		a = a.failed(errStatus)
+	case waited && a.Stream != nil && !a.noBody():
 		// Its source may have failed meanwhile. After its head, an answer can't be replaced.
 		first := newPrefetched(a.Stream)
 		if err := first.failure(); err != nil && c.ctx.Err() == nil {
--- a/io/berylhttpserver/write.go
+++ b/io/berylhttpserver/write.go
@@ -7,7 +7,10 @@
 	"strconv"
 )
 
-var errLengthMismatch = errors.New("answer body does not have the declared length") //nolint:gochecknoglobals // A sentinel.
+var (
+	errLengthMismatch = errors.New("answer body does not have the declared length") //nolint:gochecknoglobals // A sentinel.
+	errStatus         = errors.New("answer has a status that no answer may have")   //nolint:gochecknoglobals // A sentinel.
+)
 
 // write writes an answer. After an error the connection must be closed, so that the
 // caller recognizes the answer as incomplete.
