--- a/io/berylconnpool/send.go
+++ b/io/berylconnpool/send.go
@@ -313,16 +313,17 @@
 
 // discard reports a response that is not believed.
 func (e *exchange) discard(resp *http.Response) {
-	e.pool.onDiscarded(Discarded{RequestID: e.request.ID, ResponseID: resp.Header.Get(e.pool.names.RequestID), Status: resp.StatusCode, Rejection: e.isRejection(resp)})
+	e.pool.onDiscarded(Discarded{RequestID: e.request.ID, ResponseID: resp.Header.Get(e.pool.names.RequestID), Status: resp.StatusCode, Rejection: e.saysNotRun(resp)})
 }
 
-// isRejection reports whether a response says that the server did not run the request.
+// isRejection reports whether a response proves that the server did not run the request. One that
+// says so and is no error contradicts itself.
 func (e *exchange) isRejection(resp *http.Response) bool {
-	return (resp.StatusCode >= http.StatusBadRequest && e.saysNotExecuted(resp)) || resp.StatusCode == http.StatusMisdirectedRequest
+	return resp.StatusCode >= http.StatusBadRequest && e.saysNotRun(resp)
 }
 
-func (e *exchange) saysNotExecuted(resp *http.Response) bool {
-	return resp.Header.Get(e.pool.names.NotExecuted) != ""
+func (e *exchange) saysNotRun(resp *http.Response) bool {
+	return resp.Header.Get(e.pool.names.NotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest
 }
 
 // promisesNotRun reports whether a status promises the caller that its request did not run.
@@ -333,7 +334,7 @@
 // newReply classifies a response and reads its body. A body that is too long for
 // maxBufferedAnswer is streamed. Without the receipt of a backend server, a successful response
 // is malformed, and so is an error whose status promises the caller that the request did not run:
-// only a rejection proves that. A response that says so and is no error contradicts itself.
+// only a rejection proves that.
 func (e *exchange) newReply(ctx context.Context, resp *http.Response) *berylreply.Reply {
 	h := resp.Header
 	names := &e.pool.names
@@ -356,7 +357,7 @@
 		}
 		return reply
 	}
-	if malformed || e.saysNotExecuted(resp) || (!signed && promisesNotRun(resp.StatusCode)) {
+	if malformed || e.saysNotRun(resp) || (!signed && promisesNotRun(resp.StatusCode)) {
 		e.reuse = false
 		return e.fail(ctx, berylreply.ReasonMalformed)
 	}
