Give each claim of an idempotency key an id of its own

The owner of a key allows a claim again when it comes from the same call, as the reply may have been lost. It knew the call by its ID, and nested calls have that of their root: a server that made a nested call again under one key, while the first was running or after its answer was lost, was allowed to run it twice. A repeat that was turned away, or whose claim got no reply, also freed the key of the call that ran.

Run now makes an id for each call that enters a daemon and sends it in the field "call" of Claim and Settle. A claim that was settled is not allowed again either, which also covers claims of earlier daemons whose call ended.

--- a/core/berylidempotency/records.go
+++ b/core/berylidempotency/records.go
@@ -23,8 +23,9 @@
 }
 
 type record struct {
-	callID    string
+	claimID   string
 	claimedAt time.Time
+	settled   bool
 	done      bool
 	answer    []byte
 }
@@ -51,17 +52,18 @@
 	return r
 }
 
-// Claim decides whether the call may run under key and records the key if so. key
+// Claim decides whether a call may run under key and records the key if so. key
 // identifies the operation; idempotencyKey is the key that the caller sent. The verdict
-// on a call that completed before comes with its answer. A claim that is repeated by the
-// same call, because the verdict was lost, is allowed again.
-func (r *Records) Claim(now time.Time, key, idempotencyKey, callID string) (berylclaim.Verdict, []byte) {
+// on a call that completed before comes with its answer. A claim is allowed again under
+// the same claimID until it is settled, because its verdict may have been lost; claimID
+// must therefore differ between calls.
+func (r *Records) Claim(now time.Time, key, idempotencyKey, claimID string) (berylclaim.Verdict, []byte) {
 	r.removeExpired(now)
 	if rec, ok := r.records[key]; ok {
 		if rec.done {
 			return berylclaim.Completed, rec.answer
 		}
-		if rec.callID == callID {
+		if rec.claimID == claimID && !rec.settled {
 			return berylclaim.Allowed, nil
 		}
 		return berylclaim.Indeterminate, nil
@@ -72,7 +74,7 @@
 	if len(r.records) >= r.maxRecords {
 		return berylclaim.TooManyRecords, nil
 	}
-	r.records[key] = &record{callID: callID, claimedAt: now}
+	r.records[key] = &record{claimID: claimID, claimedAt: now}
 	r.keysByAge = append(r.keysByAge, key)
 	return berylclaim.Allowed, nil
 }
@@ -103,20 +105,20 @@
 	return time.Unix(sec, nsec), true
 }
 
-// Settle records how the call that claimed key ended. ran is false when the call
-// certainly did not run; the key can then be claimed again. done is true when the call
-// completed, and false when it may have run but its outcome is unknown. answer may be
-// nil when it is too large to keep.
-func (r *Records) Settle(key, callID string, ran, done bool, answer []byte) {
+// Settle records how the call that claimed key under claimID ended; only the first report
+// on a claim counts. ran is false when the call certainly did not run; the key can then be
+// claimed again. done is true when the call completed, and false when it may have run but
+// its outcome is unknown. answer may be nil when it is too large to keep.
+func (r *Records) Settle(key, claimID string, ran, done bool, answer []byte) {
 	rec, ok := r.records[key]
-	if !ok || rec.callID != callID || rec.done {
+	if !ok || rec.claimID != claimID || rec.settled {
 		return
 	}
 	if !ran {
 		delete(r.records, key)
 		return
 	}
-	rec.done, rec.answer = done, answer
+	rec.settled, rec.done, rec.answer = true, done, answer
 }
 
 // Len returns the number of records.
--- a/core/berylidempotency/records_test.go
+++ b/core/berylidempotency/records_test.go
@@ -66,3 +66,17 @@
 	again, _ := claim("3")
 	require.Equal(t, berylclaim.Allowed, again, "the record has expired")
 }
+
+// Daemons of earlier versions claim with the ID of the root call, which later calls below the root share.
+func TestClaimIsNotRepeatedAfterItsCallEnded(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	r := New(now.Add(-time.Hour))
+	first, _ := r.Claim(now, "k", "k", "root")
+	require.Equal(t, berylclaim.Allowed, first)
+	r.Settle("k", "root", true, false, nil)
+	again, _ := r.Claim(now, "k", "k", "root")
+	require.Equal(t, berylclaim.Indeterminate, again, "the call may have run")
+	r.Settle("k", "root", false, false, nil)
+	again, _ = r.Claim(now, "k", "k", "root")
+	require.Equal(t, berylclaim.Indeterminate, again, "the claim was settled before")
+}
--- a/io/beryldeduplicator/deduplicator.go
+++ b/io/beryldeduplicator/deduplicator.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"berylspan/core/berylcall"
@@ -53,10 +55,11 @@
 	if len(c.IdempotencyKey) > maxKeyBytes {
 		return beryloutcome.Refuse(berylrefusal.NewNotRun(berylrefusal.Form, connect.CodeInvalidArgument, "the idempotency key is too long"), c.RetriesLeft)
 	}
-	// The same idempotency key identifies a different operation on another route or in
-	// another call of the same root call.
+	// The same idempotency key identifies a different operation on another route.
 	key := c.Route.Path + "/" + c.IdempotencyKey
-	startBy, answer, refusal := d.claim(ctx, c.Workspace, key, c.IdempotencyKey, c.ID)
+	// The call's ID does not tell it from the other calls below the same root call.
+	claimID := strconv.FormatUint(rand.Uint64(), 36)
+	startBy, answer, refusal := d.claim(ctx, c.Workspace, key, c.IdempotencyKey, claimID)
 	if refusal != nil {
 		return beryloutcome.Refuse(refusal, c.RetriesLeft)
 	}
@@ -67,7 +70,7 @@
 		c.StartBy = startBy
 	}
 	out := send()
-	d.settle(ctx, c.Workspace, key, c.ID, out)
+	d.settle(ctx, c.Workspace, key, claimID, out)
 	return out
 }
 
@@ -75,15 +78,15 @@
 // time until which the call may begin, the encoded answer of an earlier call with the
 // key, or a refusal. A refusal as not run is returned only if it is certain that this
 // call did not run.
-func (d *Deduplicator) claim(ctx context.Context, workspace, key, idempotencyKey, callID string) (time.Time, []byte, *berylrefusal.Refusal) {
+func (d *Deduplicator) claim(ctx context.Context, workspace, key, idempotencyKey, claimID string) (time.Time, []byte, *berylrefusal.Refusal) {
 	recordKey := workspace + "/" + key
 	requestedAt := time.Now()
-	req := &berylwire.ClaimRequest{Shard: int32(berylshard.Of(recordKey)), Key: recordKey, Idempotency: idempotencyKey, Call: callID}
+	req := &berylwire.ClaimRequest{Shard: int32(berylshard.Of(recordKey)), Key: recordKey, Idempotency: idempotencyKey, Call: claimID}
 	reply, ok := d.requestClaim(ctx, recordKey, req)
 	if !ok {
 		// The owner may have recorded a claim whose answer was lost. This call will
 		// not run, so the claim is released.
-		d.settle(ctx, workspace, key, callID, beryloutcome.Refuse(berylrefusal.NewNotRun(berylrefusal.Owner, 0, ""), 0))
+		d.settle(ctx, workspace, key, claimID, beryloutcome.Refuse(berylrefusal.NewNotRun(berylrefusal.Owner, 0, ""), 0))
 		refusal := berylrefusal.NewNotRun(berylrefusal.Owner, connect.CodeUnavailable, "the daemon that knows whether this idempotency key was used cannot be reached")
 		refusal.RetryAfter = retryAfter
 		return time.Time{}, nil, refusal
@@ -147,12 +150,12 @@
 
 // settle reports to the owner how the call ended. It continues when the caller has
 // cancelled ctx.
-func (d *Deduplicator) settle(ctx context.Context, workspace, key, callID string, out *beryloutcome.Outcome) {
+func (d *Deduplicator) settle(ctx context.Context, workspace, key, claimID string, out *beryloutcome.Outcome) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancel()
 	recordKey := workspace + "/" + key
 	shard := berylshard.Of(recordKey)
-	req := &berylwire.SettleRequest{Shard: int32(shard), Key: recordKey, Call: callID}
+	req := &berylwire.SettleRequest{Shard: int32(shard), Key: recordKey, Call: claimID}
 	req.Ran = out.Refusal == nil || out.Refusal.MayHaveRun
 	req.Done = out.Refusal == nil
 	req.Answer = encodeAnswer(out)
