Refuse a call on the Connect face whose answer has a status that no answer may have

What callers could see: the backend server answers a unary call with status 000, 99, 600 or 999 and an error as JSON. The error went to the caller as the server's own, and with the mark "not run" it counted as a promise. An answer with status 101 and an Upgrade field held its slot for good: net/http passes the connection on as the body, and connect-go reads it without regard to the time limit. An interim answer with a body held the slot until the time limit.

Cause: net/http takes any three digits, and connect-go asks only whether the status is 200. Class: as in the pool, a status outside all allowed ranges fell into the nearest of them.

The HTTP clients of beryltransport now fail a request with such a response, or with more than 16 interim ones, at once, so that the call is refused as one that may have run, and close the connection. That holds for calls to the backend server, to other daemons and to the platform. The client that uses a connection once sets this by an option, as its transport is wrapped now.

--- a/io/berylechoclient/client.go
+++ b/io/berylechoclient/client.go
@@ -29,11 +29,7 @@
 // New returns a client. idHeader is the name of the header field that holds the id of a
 // request.
 func New(dial beryltransport.Dial, idHeader string) *Client {
-	c := &Client{idHeader: idHeader, reusing: beryltransport.HTTP1(dial), single: beryltransport.HTTP1(dial)}
-	if t, ok := c.single.Transport.(*http.Transport); ok {
-		t.DisableKeepAlives = true
-	}
-	return c
+	return &Client{idHeader: idHeader, reusing: beryltransport.HTTP1(dial), single: beryltransport.HTTP1(dial, beryltransport.DisableKeepAlives)}
 }
 
 // Do sends a request. An answer that proves nothing is an error.
--- a/io/beryltransport/transport.go
+++ b/io/beryltransport/transport.go
@@ -42,15 +42,25 @@
 		MaxReceiveBufferPerStream:     streamBufferBytes,
 		MaxReceiveBufferPerConnection: connBufferBytes,
 	}
-	return &http.Client{Transport: t, CheckRedirect: refuseRedirect}
+	return newClient(t)
 }
 
+// DisableKeepAlives makes a client use a connection for each request.
+func DisableKeepAlives(t *http.Transport) { t.DisableKeepAlives = true }
+
 // HTTP1 returns a client that speaks HTTP/1.1 in plaintext. It does not follow redirects.
-func HTTP1(dial Dial) *http.Client {
+func HTTP1(dial Dial, opts ...func(*http.Transport)) *http.Client {
 	t := newTransport(detectResets(dial), nil)
 	t.Protocols.SetHTTP1(true)
 	t.MaxIdleConnsPerHost = 64
-	return &http.Client{Transport: t, CheckRedirect: refuseRedirect}
+	for _, opt := range opts {
+		opt(t)
+	}
+	return newClient(t)
+}
+
+func newClient(t *http.Transport) *http.Client {
+	return &http.Client{Transport: CheckStatus(t), CheckRedirect: refuseRedirect}
 }
 
 func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
