Read the store on after an answer with status 101

What could happen: the store, or something before it, answers with status 101 and an Upgrade field. net/http passes the connection on as the body, and the client read the rest of the answer without regard to its time limit. The read never ended, no other one was started, and the daemon saw no change of the store until its restart. Answers with other impossible statuses and no length, and interim ones with a body, held the read until its time limit.

The store and the state of other instances are read through the transport that fails such responses at once, as the Connect face does.

--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -34,6 +34,7 @@
 	"berylspan/io/berylrunner"
 	"berylspan/io/berylsocket"
 	"berylspan/io/berylstorecache"
+	"berylspan/io/beryltransport"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
@@ -88,10 +89,10 @@
 func New(set Settings, names berylheadernames.Names, source berylstorecache.Source, log zerolog.Logger) *Sidecar {
 	s := &Sidecar{names: names, log: log, start: time.Now().UnixMilli(), meter: newMeter(), reserve: berylreserve.New(), ramp: berylramp.New(time.Now())}
 	s.applySettings(set)
-	s.stateClient = &http.Client{Transport: &http.Transport{
+	s.stateClient = &http.Client{Transport: beryltransport.CheckStatus(&http.Transport{
 		DialContext: (&net.Dialer{Timeout: stateDialTimeout, Control: berylmesh.SetTCPUserTimeout}).DialContext, IdleConnTimeout: stateIdleTimeout,
 		MaxResponseHeaderBytes: maxHeadSize, DisableCompression: true,
-	}}
+	})}
 	s.guard = berylpanic.New(log, berylpanic.OnPanic(s.meter.panicked))
 	s.memory, s.limitedLog = berylmemory.New(memoryLimits(set)), berylthrottle.New(limitedLogInterval)
 	s.meter.watchMemory(s.memory.Held)
