--- a/io/berylechoclient/client.go
+++ b/io/berylechoclient/client.go
@@ -38,9 +38,9 @@
 // New returns a client. idHeader is the name of the header field that holds the id of a
 // request.
 func New(dial beryltransport.Dial, idHeader string, opts ...func(*Client)) *Client {
-	c := &Client{idHeader: idHeader, idle: idle{dial: dial}, single: beryltransport.HTTP1(dial), discard: func(string, *http.Response) {}}
-	if t, ok := c.single.Transport.(*http.Transport); ok {
-		t.DisableKeepAlives = true
+	c := &Client{
+		idHeader: idHeader, idle: idle{dial: dial}, single: beryltransport.HTTP1(dial, beryltransport.DisableKeepAlives),
+		discard: func(string, *http.Response) {},
 	}
 	for _, o := range opts {
 		o(c)
