Keep net/http from sending a call twice for the header X-Idempotency-Key

A call that may run once at most ran twice on an http1 server that read it, ran it and closed a reused connection without an answer, if its caller had set X-Idempotency-Key. net/http takes a request with that header, or with Idempotency-Key, for one that may be sent again, and does so by itself. The daemon sends its own Idempotency-Key in lower case for that reason; the other name came from the caller and was passed on as it was.

The client that reuses connections now sends both names in lower case, which servers read alike.

--- a/io/berylechoclient/client.go
+++ b/io/berylechoclient/client.go
@@ -68,7 +68,7 @@
 	cn := c.idle.take(id)
 	var reused atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }}
-	res, err := cn.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	res, err := cn.client.Do(withoutReplay(req).WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		cn.close()
 		return nil, err
