Open no more connections to the backend server than it accepts

A request that a server refused needs a connection on which its id was never sent. Since then the pool could hold more connections than requests run at once, which the limit on slots does not bound: beyond max_connections the server resets them, and a refused request that may run once at most, known not to have run, counted as one that may have, so that its caller got 502.

The pool now counts its connections. Where it has max_connections of them, it closes the one that has been idle longest before it opens another, and waits up to 100 ms until the server has closed it, too.

A server that accepts fewer while its queue is long is not covered.

--- a/io/berylconnpool/pool.go
+++ b/io/berylconnpool/pool.go
@@ -29,10 +29,12 @@
 	guard func(part string, f func()) bool
 
 	onDiscarded func(Discarded)
+	maxOpen     func() int // connections that the server accepts, 0 if unknown
 
 	mu               sync.Mutex
 	idle             []*conn // the longest idle first
 	closed           bool
+	open             int          // connections
 	errorHasID       map[int]bool // by status, whether the last error response that certainly answered a request had its id
 	rejectionOmitsID bool         // as above, whether the last rejection had none
 }
@@ -44,6 +46,7 @@
 	defaultIdleTimeout   = 3 * time.Second        // if the server does not announce its idle timeout
 	maxIdleTimeout       = 30 * time.Second       // even if the server announces a longer one
 	nonIdempotentMaxIdle = 700 * time.Millisecond // longest idle time of a connection used for a request that must not run twice
+	orderlyCloseTimeout  = 100 * time.Millisecond // for the server to close its side
 	socketBytes          = 64 << 10               // received and not yet read, that the kernel holds at most for a connection
 )
 
@@ -55,10 +58,14 @@
 // request under way.
 func OnDiscarded(f func(Discarded)) func(*Pool) { return func(p *Pool) { p.onDiscarded = f } }
 
+// MaxOpen sets the function that returns how many connections the server accepts, 0 if that is
+// unknown. The server resets further ones.
+func MaxOpen(f func() int) func(*Pool) { return func(p *Pool) { p.maxOpen = f } }
+
 // New returns a pool for the backend server at addr.
 func New(addr string, names berylheadernames.Names, opts ...func(*Pool)) *Pool {
 	d := &net.Dialer{Timeout: dialTimeout, Control: berylsocket.SetReadBuffer(socketBytes)}
-	p := &Pool{addr: addr, names: names, guard: berylpanic.Unguarded, onDiscarded: func(Discarded) {}, errorHasID: map[int]bool{}, dial: func(ctx context.Context, addr string) (net.Conn, error) {
+	p := &Pool{addr: addr, names: names, guard: berylpanic.Unguarded, onDiscarded: func(Discarded) {}, maxOpen: func() int { return 0 }, errorHasID: map[int]bool{}, dial: func(ctx context.Context, addr string) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", addr)
 	}}
 	for _, opt := range opts {
@@ -80,11 +87,36 @@
 		}
 		c.close()
 	}
+	return p.connect(ctx)
+}
+
+// connect opens a connection. If the server accepts no other, it closes the one that has been idle
+// longest first.
+func (p *Pool) connect(ctx context.Context) (*conn, error) {
+	limit := p.maxOpen()
+	p.mu.Lock()
+	var c *conn
+	if limit > 0 && p.open >= limit && len(p.idle) > 0 {
+		c = p.idle[0]
+		p.idle = slices.Delete(p.idle, 0, 1)
+	}
+	p.open++
+	p.mu.Unlock()
+	if c != nil {
+		c.closeOrderly(ctx)
+	}
 	nc, err := p.dial(ctx, p.addr)
 	if err != nil {
+		p.recordClosed()
 		return nil, err
 	}
-	return newConn(nc), nil
+	return newConn(nc, sync.OnceFunc(p.recordClosed)), nil
+}
+
+func (p *Pool) recordClosed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
 }
 
 // takeIdle takes the connection that became idle last of those that the request may be sent on,
@@ -128,11 +160,11 @@
 // Dial opens a connection and keeps it for a later request. It returns the error of the
 // dial, syscall.ECONNREFUSED among others.
 func (p *Pool) Dial(ctx context.Context) error {
-	nc, err := p.dial(ctx, p.addr)
+	c, err := p.connect(ctx)
 	if err != nil {
 		return eris.Wrapf(err, "dial backend server at %s", p.addr)
 	}
-	p.put(newConn(nc))
+	p.put(c)
 	return nil
 }
 
--- a/io/berylrunner/runner.go
+++ b/io/berylrunner/runner.go
@@ -41,6 +41,7 @@
 	onAnswered     func(req *berylrequest.Request)
 	onShedding     func()
 	onDiscarded    func(berylconnpool.Discarded)
+	maxConns       func() int
 	checkSuspect   func(req *berylrequest.Request) (suspect bool, wait time.Duration)
 	isEvacuated    func() bool // the data centre of the backend server
 	isListed       func(serverID string) bool
@@ -119,6 +120,10 @@
 	return func(r *Runner) { r.onDiscarded = f }
 }
 
+// MaxConns sets the function that returns how many connections the backend server accepts, 0 if
+// that is unknown.
+func MaxConns(f func() int) func(*Runner) { return func(r *Runner) { r.maxConns = f } }
+
 // New returns a runner for the backend server at addr. listEntry returns its entry in
 // the published list, false while that is unknown.
 func New(addr string, names berylheadernames.Names, listEntry func() (berylregistration.Registration, bool), opts ...func(*Runner)) *Runner {
@@ -131,6 +136,7 @@
 		onAnswered:     func(*berylrequest.Request) {},
 		onShedding:     func() {},
 		onDiscarded:    func(berylconnpool.Discarded) {},
+		maxConns:       func() int { return 0 },
 		checkSuspect:   func(*berylrequest.Request) (bool, time.Duration) { return false, 0 },
 		isEvacuated:    func() bool { return false },
 		isListed:       func(string) bool { return true },
@@ -154,7 +160,7 @@
 }
 
 func (r *Runner) newPool(addr string) *berylconnpool.Pool {
-	return berylconnpool.New(addr, r.names, berylconnpool.Guard(r.guard), berylconnpool.OnDiscarded(r.onDiscarded))
+	return berylconnpool.New(addr, r.names, berylconnpool.Guard(r.guard), berylconnpool.OnDiscarded(r.onDiscarded), berylconnpool.MaxOpen(r.maxConns))
 }
 
 // SetAddr changes the address of the backend server.
--- a/io/berylsidecar/sidecar.go
+++ b/io/berylsidecar/sidecar.go
@@ -123,7 +123,7 @@
 	s.runner = berylrunner.New(set.Backend, names, s.own, berylrunner.OnRequestEnd(s.logWork), berylrunner.OnServerStatus(s.serverStatus),
 		berylrunner.OnServerEnd(s.serverEnded), berylrunner.OnShedding(func() { s.say(true) }), berylrunner.OnAnswered(s.crashes.Answered), berylrunner.CheckSuspect(s.crashes.Check), berylrunner.Guard(s.guard.Run),
 		berylrunner.Evacuated(s.evacuated), berylrunner.IsListed(s.isListed), berylrunner.ColdStart(s.coldStart), berylrunner.OnColdChange(s.coldChanged),
-		berylrunner.OnDiscarded(s.discarded))
+		berylrunner.OnDiscarded(s.discarded), berylrunner.MaxConns(s.maxConns))
 	s.meter.watchServer(s.runner.ServerStatus)
 	s.meter.watchCold(s.runner.Cold)
 	s.meter.watchEvenness(s.proxy.Evenness)
@@ -144,17 +144,22 @@
 // own returns the list's entry of the local backend server. Each request takes a
 // connection, so it runs no more at once than it accepts connections.
 func (s *Sidecar) own() (berylregistration.Registration, bool) {
-	st := s.cache.State()
-	l, ok := st.ServersByAddr[s.set.Load().Backend]
-	if st.Config == nil {
-		return l, ok
-	}
-	if conns := st.Config.MaxConns[l.Service]; conns > 0 {
+	l, ok := s.cache.State().ServersByAddr[s.set.Load().Backend]
+	if conns := s.maxConns(); conns > 0 {
 		l.Slots = min(l.Slots, conns)
 	}
 	return l, ok
 }
 
+// maxConns returns how many connections the local backend server accepts, 0 if that is unknown.
+func (s *Sidecar) maxConns() int {
+	st := s.cache.State()
+	if st.Config == nil {
+		return 0
+	}
+	return st.Config.MaxConns[st.ServersByAddr[s.set.Load().Backend].Service]
+}
+
 // Start listens and begins to learn. Callers are refused until a configuration
 // is known.
 func (s *Sidecar) Start(ctx context.Context) error {
