Let a refusal between instances tell which request of the connection it answers

What callers saw, in a soak: requests that must run once at most ran twice. An instance that stops ends each connection with a refusal that nobody asked for. It had no number and no id, so that it counted for whatever request was under way, also for one that ran and whose reply had been lost on the way.

A refusal now tells the place of its request on the connection, as a word that older instances ignore; one for another place is malformed, so that the outcome is unknown. Older instances don't tell, and are believed as before. The golden files of the encoding are unchanged.

--- a/io/berylmesh/conn.go
+++ b/io/berylmesh/conn.go
@@ -24,7 +24,8 @@
 // was sent on the connection before. For that to hold, a request is sent only after the whole reply
 // to the one before was read, and a connection is closed, not used again, after a request that was
 // cancelled or whose reply or body was not read to its end. Whoever sends a refusal that nobody asked
-// for reads no further request: a request that crosses it does not run.
+// for reads no further request: a request that crosses it does not run. A refusal tells
+// which request of the connection it is the reply to, so that it counts for no other.
 //
 // A message consists of the lengths of head and body, the head, and the body. The head
 // is an HPACK block; the HPACK tables live as long as the connection. A body that is
@@ -38,6 +39,7 @@
 	onField    func(f hpack.HeaderField)
 	fieldsLeft int // bytes that the fields of the current head may still have
 	idleSince  time.Time
+	requests   int // sent or received on it so far
 	acks       *ackWatch
 
 	mem     *berylmemory.Holder // what received messages are charged to, nil for not
--- a/io/berylmesh/drain.go
+++ b/io/berylmesh/drain.go
@@ -82,6 +82,7 @@
 // refuseNext refuses a request that may be on its way, and reads no more. A sender that has
 // none under way sees that bytes arrive and does not use the connection again.
 func (s *Server) refuseNext(c *conn) {
+	c.requests++ // The refusal is the reply to the next one.
 	s.refuse(c, berylreply.NewFailure(berylattempt.Unsent, berylreply.ReasonShuttingDown))
 }
 
--- a/io/berylmesh/message.go
+++ b/io/berylmesh/message.go
@@ -29,7 +29,7 @@
 	fieldDeadlines  = ":d" // milliseconds left until the deadline and until the target time, and the fingerprint of a request with a streamed body
 	fieldBodyLength = ":n" // length of a chunked body, if known; of the body that a reply to HEAD leaves out, -1 if unknown
 	fieldStatus     = ":s"
-	fieldFailure    = ":e" // outcome, reason, retry-after in milliseconds, and id of the actual backend server
+	fieldFailure    = ":e" // outcome, reason, retry-after in milliseconds, id of the actual backend server, and which request of the connection it is the reply to
 	fieldLoad       = ":l" // busy, limit, mean service time and queue time in milliseconds
 )
 
@@ -37,6 +37,7 @@
 // is in Body. After an error, mayBeRead reports whether the instance may handle the request.
 func (m *Mesh) writeRequest(c *conn, req *berylrequest.Request) (mayBeRead bool, err error) {
 	now := time.Now()
+	c.requests++
 	c.startMessage()
 	c.writeField(fieldMethod, req.Method, true)
 	c.writeField(fieldURI, req.URI, false)
@@ -136,6 +137,7 @@
 // readRequest reads a request. A chunked body is left in Stream, to be read from the
 // connection.
 func (m *Mesh) readRequest(c *conn) (*berylrequest.Request, error) {
+	c.requests++
 	req := &berylrequest.Request{Header: http.Header{}, Length: -1}
 	bodyLength, err := c.readHead(func(f hpack.HeaderField) {
 		switch f.Name {
@@ -192,7 +194,11 @@
 			strconv.FormatInt(reply.MeanServiceTime.Milliseconds(), 10)+" "+strconv.FormatInt(reply.QueueTime.Milliseconds(), 10), false)
 	}
 	if reply.Outcome != berylattempt.Answered {
-		c.writeField(fieldFailure, reply.Outcome.String()+" "+reply.Reason+" "+strconv.FormatInt(reply.RetryAfter.Milliseconds(), 10)+" "+reply.ActualServerID, false)
+		failure := reply.Outcome.String() + " " + reply.Reason + " " + strconv.FormatInt(reply.RetryAfter.Milliseconds(), 10) + " " + reply.ActualServerID
+		if c.requests > 0 {
+			failure += " " + strconv.Itoa(c.requests) // Older builds ignore further words.
+		}
+		c.writeField(fieldFailure, failure, false)
 		_, err := c.writeMessage(nil, true)
 		return err
 	}
@@ -229,14 +235,15 @@
 // Stream, to be read from the connection.
 func (m *Mesh) readReply(c *conn, requestID string) (*berylreply.Reply, error) {
 	reply := &berylreply.Reply{Outcome: berylattempt.Answered, Header: http.Header{}, Length: -1}
-	lengthTold := false
+	lengthTold, otherRequest := false, false
 	bodyLength, err := c.readHead(func(f hpack.HeaderField) {
 		switch f.Name {
 		case fieldStatus:
 			reply.Status = int(parseInt(f.Value))
 		case fieldFailure:
-			v := splitWords(f.Value, 4)
+			v := splitWords(f.Value, 5)
 			reply.Outcome, reply.Reason, reply.RetryAfter, reply.ActualServerID = berylattempt.Parse(v[0]), v[1], parseMillis(v[2]), v[3]
+			otherRequest = v[4] != "" && v[4] != strconv.Itoa(c.requests) // Older builds don't tell.
 		case fieldLoad:
 			v := splitWords(f.Value, 4)
 			reply.Busy, reply.Limit, reply.MeanServiceTime = int(parseInt(v[0])), int(parseInt(v[1])), parseMillis(v[2])
@@ -254,7 +261,7 @@
 	switch {
 	case err != nil:
 		return nil, err
-	case reply.Outcome == berylattempt.Answered && !berylhttpstatus.IsFinal(reply.Status):
+	case otherRequest, reply.Outcome == berylattempt.Answered && !berylhttpstatus.IsFinal(reply.Status):
 		return nil, errMalformed
 	case bodyLength < 0:
 		reply.Stream = io.NopCloser(&chunkReader{br: c.br})
