--- a/core/berylsentids/sentids.go
+++ b/core/berylsentids/sentids.go
@@ -18,8 +18,7 @@
 	hashes []uint64
 }
 
-// maxIDs is the number of ids that a full set holds. A connection that closes after so many requests
-// costs next to nothing, and a set takes 8 KB.
+// maxIDs is the number of ids that a full set holds, 8 KB.
 const maxIDs = 1024
 
 // Full reports whether no more ids are to be added: the connection is to be closed.
