Let instances tell all others while their counts of the fleet differ

Cause: instances that come and go are counted for 10 s by those that send gossip and for 1.3 s by those that wait for it. With 17 instances and a few replaced at once the senders count more than 24, the limit for telling all, and the others less, so that they count instances as silent that are well, and give up what runs there. core/berylfullmesh now decides both: all are told up to 32 by the count that also the waiting side uses, and gossip from all is expected up to 24.

--- a/io/berylproxy/proxy.go
+++ b/io/berylproxy/proxy.go
@@ -11,6 +11,7 @@
 
 	"berylspan/core/berylcoldshare"
 	"berylspan/core/berylevenness"
+	"berylspan/core/berylfullmesh"
 	"berylspan/core/berylgrace"
 	"berylspan/core/berylheadernames"
 	"berylspan/core/berylplacement"
@@ -88,10 +89,6 @@
 	cancel context.CancelFunc
 }
 
-// MaxFullMeshSize is the number of instances up to which each one sends gossip to all
-// others all the time.
-const MaxFullMeshSize = 24
-
 // PeerTimeout is how long after its last gossip message an instance counts as silent.
 // Three messages are due in that time.
 const PeerTimeout = 1300 * time.Millisecond
@@ -152,7 +149,7 @@
 // isSilent reports whether gossip from an instance is overdue. In a large fleet only
 // instances of the own data centre send it all the time.
 func (p *Proxy) isSilent(now time.Time, peer berylgossip.Peer) bool {
-	return now.Sub(peer.LastSeen) > PeerTimeout && (p.fleetSize <= MaxFullMeshSize || peer.Heartbeat.Zone == p.Zone)
+	return now.Sub(peer.LastSeen) > PeerTimeout && (berylfullmesh.ExpectsAll(p.fleetSize) || peer.Heartbeat.Zone == p.Zone)
 }
 
 // FleetSize returns the number of instances in the fleet, including this one.
--- a/io/berylsidecar/peers.go
+++ b/io/berylsidecar/peers.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"berylspan/core/berylfullmesh"
 	"berylspan/core/berylregistration"
 	"berylspan/io/berylgossip"
 	"berylspan/io/berylproxy"
@@ -63,7 +64,7 @@
 // changed tells others at once that something new is known here. In a large fleet
 // whoever told the own data centre has told all of it.
 func (s *Sidecar) changed(from string) {
-	if s.proxy.FleetSize() <= berylproxy.MaxFullMeshSize || !s.near(from) {
+	if s.proxy.FleetSize() <= berylfullmesh.MaxSize || !s.near(from) {
 		s.say(false)
 	}
 	s.runner.ListChanged()
@@ -161,12 +162,12 @@
 		}
 	}
 	place := placeOf(set.Host, zones[set.Zone])
-	large = len(seen) > berylproxy.MaxFullMeshSize
+	large = len(seen) > berylfullmesh.MaxSize
 	for zone, hosts := range zones {
 		switch {
 		case zone == set.Zone:
 			near = hosts
-		case all || !large:
+		case all || berylfullmesh.TellsAll(s.proxy.FleetSize()):
 			far = append(far, hosts...)
 		default:
 			far = append(far, inTurn(hosts, place, turn))
@@ -198,10 +199,10 @@
 // of the next.
 func (s *Sidecar) place() int {
 	if s.leaving.Load() {
-		return berylproxy.MaxFullMeshSize
+		return berylfullmesh.MaxSize
 	}
 	set := s.set.Load()
-	large := s.proxy.FleetSize() > berylproxy.MaxFullMeshSize
+	large := s.proxy.FleetSize() > berylfullmesh.MaxSize
 	own := xxhash.Sum64String(set.Host)
 	before := map[string]bool{}
 	n := 0
--- a/io/berylsidecar/quotas.go
+++ b/io/berylsidecar/quotas.go
@@ -4,6 +4,8 @@
 	"maps"
 	"time"
 
+	"berylspan/core/berylfullmesh"
+
 	"berylspan/core/berylaccount"
 	"berylspan/io/berylgossip"
 	"berylspan/io/berylproxy"
@@ -90,7 +92,7 @@
 		return
 	}
 	fleet := s.proxy.FleetSize()
-	large := fleet > berylproxy.MaxFullMeshSize
+	large := fleet > berylfullmesh.MaxSize
 	alive, demand, silent := s.lending(peers, large)
 	own, near := s.quotas.Demand(), sum(demand)
 	if large {
