--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -15,6 +16,8 @@
 	Method, Host, Path, ID, Key string
 	Body                        []byte
 	Limit                       time.Duration
+	Leave                       time.Duration // after which the client closes its connection, 0 for Limit
+	Chunked                     bool          // the body is sent in chunks
 }
 
 // Answer is what a client got: Status 0 if no whole answer came.
@@ -28,7 +31,7 @@
 // send sends a request to a machine on a connection of its own and records it.
 func (m *Machine) send(a Ask) Answer {
 	m.p.log("sent", a.ID, m.name, a.Method+" "+a.Path)
-	ctx, cancel := context.WithTimeout(context.Background(), a.Limit)
+	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(a.Leave, a.Limit))
 	defer cancel()
 	tr := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true}
 	defer tr.CloseIdleConnections()
@@ -37,6 +40,9 @@
 		return Answer{Err: err}
 	}
 	req.Host = a.Host
+	if a.Chunked {
+		req.ContentLength = -1
+	}
 	req.Header.Set("X-Attempt-Id", a.ID)
 	req.Header.Set("X-Request-Deadline", fmt.Sprint(a.Limit.Milliseconds()))
 	if a.Key != "" {
--- a/review/stand-2/crash.go
+++ b/review/stand-2/crash.go
@@ -99,3 +99,14 @@
 	}
 	return 400_000
 }
+
+// mixedForms reports whether an upload is sent in both forms. With FORMS=1 it always has a length.
+func mixedForms() bool { return os.Getenv("FORMS") != "1" }
+
+// leaveAfter returns when a client gives up. With LEAVE=0 it stays.
+func leaveAfter() time.Duration {
+	if os.Getenv("LEAVE") == "0" {
+		return 0
+	}
+	return 300 * time.Millisecond
+}
--- /dev/null
+++ b/review/stand-2/leaver.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// leaverCase: a request crashes each upstream that runs it, after some work. Its client gives up
+// before that and sends it again. These upstreams do not drop a request when its connection closes.
+func leaverCase(p *Platform, trouble bool) (string, error) {
+	const (
+		stable  = 3 * time.Second // stable_window_s
+		work    = time.Second     // of every request
+		pause   = 2 * time.Second
+		length  = 40 * time.Second
+		retries = 3
+	)
+	entry := p.add("a", "front", UpstreamSpec{Slots: 20, Work: 20 * time.Millisecond, BodyBytes: 400})
+	for i := range 4 {
+		spec := UpstreamSpec{Slots: 20, Work: work, BodyBytes: 400, GoesOn: true}
+		if trouble {
+			spec.CrashPath = "/scan/bad/"
+		}
+		m := p.add([]string{"a", "b"}[i%2], "archive", spec)
+		m.restart = 2 * time.Second
+	}
+	p.configure(1, map[string]any{"scan": route("/scan/", "safe", "archive", 2, 5)}, "front", "archive")
+	if err := p.startAll(); err != nil {
+		return "", err
+	}
+	begin := time.Now()
+	for n := 0; time.Since(begin) < length; n++ {
+		entry.send(Ask{Method: "GET", Host: "shop.example", Path: "/scan/bad/1", ID: fmt.Sprintf("bad-%d", n), Key: "k-acme", Limit: 6 * time.Second, Leave: leaveAfter()})
+		time.Sleep(pause)
+	}
+	if !trouble {
+		for _, e := range p.all("got") {
+			if !strings.HasPrefix(e.Detail, "200") && !strings.Contains(e.Detail, "deadline exceeded") {
+				return fmt.Sprintf("%s got %s without trouble", e.ID, e.Detail), nil
+			}
+		}
+		if n := len(p.all("crashes")); n > 0 {
+			return fmt.Sprintf("%d crashes without trouble", n), nil
+		}
+		return "", nil
+	}
+	crashes := p.all("crashes")
+	if len(crashes) < 3 {
+		return "", nil
+	}
+	late := 0
+	for _, e := range p.all("runs") {
+		if e.At > crashes[2].At+stable {
+			late++
+		}
+	}
+	p.log("result", "", "", fmt.Sprintf("%d crashes; the request reached upstreams %d times later than %s after the third", len(crashes), late, stable))
+	fmt.Printf("%d crashes; %d arrivals later than %s after the third (at most %d are allowed)\n", len(crashes), late, stable, retries)
+	if late > retries {
+		return fmt.Sprintf("BUDGET: the request reached upstreams %d times", late), nil
+	}
+	return "", nil
+}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -51,5 +51,7 @@
 // cases returns what broke the rule, "" if it held.
 var cases = map[string]func(p *Platform, trouble bool) (string, error){
 	"crash":      crashCase,
+	"forms":      formsCase,
+	"leaver":     leaverCase,
 	"slowreader": slowReaderCase,
 }
--- a/review/stand-2/slowreader.go
+++ b/review/stand-2/slowreader.go
@@ -65,10 +65,10 @@
 func slowReaderCase(p *Platform, trouble bool) (string, error) {
 	const (
 		size      = 300_000 // bytes; kind upload, at most 360,000 in the site file
-		perSecond = 50      // uploads
+		perSecond = 30      // uploads
 		length    = 20 * time.Second
 		limit     = 8 * time.Second // the clients' time limit and the route's timeout
-		slow      = 75_000          // bytes a second that an upstream reads of each body
+		slow      = 50_000          // bytes a second that an upstream reads of each body
 		most      = 3
 	)
 	entry := p.add("a", "front", UpstreamSpec{Slots: 40, Work: 5 * time.Millisecond, BodyBytes: 400})
--- a/review/stand-2/upstream.go
+++ b/review/stand-2/upstream.go
@@ -25,6 +25,7 @@
 	CrashPath               string // requests for paths with this prefix end the process
 	CrashAfter              int    // bytes of the answer that are sent before that
 	BodyBytes               int    // of an answer
+	GoesOn                  bool   // it does not drop a request when its connection closes
 	ReadPerSecond           int    // bytes of a request body, 0 for as fast as they come
 }
 
@@ -122,9 +123,13 @@
 	defer func() { <-u.slots }()
 	u.report("runs", id, r.Method+" "+r.RequestURI+" body "+strconv.Itoa(len(body)))
 	crash := u.CrashPath != "" && strings.HasPrefix(r.URL.Path, u.CrashPath)
+	closed := r.Context().Done()
+	if u.GoesOn {
+		closed = nil
+	}
 	select {
 	case <-time.After(u.Work):
-	case <-r.Context().Done():
+	case <-closed:
 		u.report("dropped", id, "its connection was closed")
 		return
 	}
