--- a/review/stand-2/crash.go
+++ b/review/stand-2/crash.go
@@ -13,13 +13,13 @@
 func crashCase(p *Platform, trouble bool) (string, error) {
 	const (
 		stable  = 3 * time.Second // stable_window_s
-		pause   = 1500 * time.Millisecond
-		length  = 30 * time.Second
+		pause   = 3 * time.Second
+		length  = 40 * time.Second
 		size    = 600_000
 		retries = 3
 	)
 	entry := p.add("a", "front", UpstreamSpec{Slots: 20, Work: 20 * time.Millisecond, BodyBytes: 400})
-	for i := range 4 {
+	for i := range 7 {
 		spec := UpstreamSpec{Slots: 20, Work: 20 * time.Millisecond, BodyBytes: 400}
 		if trouble {
 			spec.CrashPath, spec.CrashAfter = "/scan/bad/", crashAfter()
--- a/review/stand-2/forms.go
+++ b/review/stand-2/forms.go
@@ -13,12 +13,12 @@
 	const (
 		stable  = 3 * time.Second // stable_window_s
 		pause   = 3 * time.Second
-		length  = 30 * time.Second
+		length  = 36 * time.Second
 		size    = 100_000
 		retries = 3
 	)
 	entry := p.add("a", "front", UpstreamSpec{Slots: 20, Work: 20 * time.Millisecond, BodyBytes: 400})
-	for i := range 4 {
+	for i := range 7 {
 		spec := UpstreamSpec{Slots: 20, Work: 20 * time.Millisecond, BodyBytes: 400}
 		if trouble {
 			spec.CrashPath = "/up/bad/"
--- a/review/stand-2/leaver.go
+++ b/review/stand-2/leaver.go
@@ -13,11 +13,13 @@
 		stable  = 3 * time.Second // stable_window_s
 		work    = time.Second     // of every request
 		pause   = 2 * time.Second
-		length  = 40 * time.Second
+		window  = 5500 * time.Millisecond // in which clients give up, as long as in the site file
+		gap     = 5500 * time.Millisecond // between two windows, in which the request does not come
+		windows = 4
 		retries = 3
 	)
 	entry := p.add("a", "front", UpstreamSpec{Slots: 20, Work: 20 * time.Millisecond, BodyBytes: 400})
-	for i := range 4 {
+	for i := range 7 {
 		spec := UpstreamSpec{Slots: 20, Work: work, BodyBytes: 400, GoesOn: true}
 		if trouble {
 			spec.CrashPath = "/scan/bad/"
@@ -30,10 +32,13 @@
 		return "", err
 	}
 	lost := entry.sendOrders()
-	begin := time.Now()
-	for n := 0; time.Since(begin) < length; n++ {
-		entry.send(Ask{Method: "GET", Host: "shop.example", Path: "/scan/bad/1", ID: fmt.Sprintf("bad-%d", n), Key: "k-acme", Limit: 6 * time.Second, Leave: leaveAfter()})
-		time.Sleep(pause)
+	n := 0
+	for range windows {
+		for begin := time.Now(); time.Since(begin) < window-leaveAfter(); n++ {
+			entry.send(Ask{Method: "GET", Host: "shop.example", Path: "/scan/bad/1", ID: fmt.Sprintf("bad-%d", n), Key: "k-acme", Limit: 6 * time.Second, Leave: leaveAfter()})
+			time.Sleep(pause)
+		}
+		time.Sleep(gap)
 	}
 	lostOrders := lost()
 	if !trouble {
--- a/review/stand-2/slowreader.go
+++ b/review/stand-2/slowreader.go
@@ -66,7 +66,7 @@
 	const (
 		size      = 300_000 // bytes; kind upload, at most 360,000 in the site file
 		perSecond = 30      // uploads
-		length    = 20 * time.Second
+		length    = 9 * time.Second
 		limit     = 8 * time.Second // the clients' time limit and the route's timeout
 		slow      = 50_000          // bytes a second that an upstream reads of each body
 		most      = 3
